--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,869 @@
+// The decisions of hareramp, all of them. A protocol adapter calls the methods of Director (policy.hpp); what
+// the module wants done goes out through Actions. After every input the ordered rules of kRules (below) are
+// gone through for each pull that the input touched, from the top, until none fires.
+//
+// The design (docs/design.md): home cache by hash, hot objects spread over the top two and fill from each
+// other, all other fills from a parent by a hash over all listed parents, each kept by the three-band rule.
+// Beside it stand:
+//   1. health     nodes that stay silent, break or can't be reached are left out and come back by trials
+//   2. patience   a further hand-off while it can still help, and none without the time for it
+//   3. budgets    what a node that has just started may be sent over any span (caches, parents, sources)
+//   4. purges     the oldest copy that will do, never older than the last purge told; stale copies at need
+//   5. load       a pull nobody can take is paused briefly, or given its final answer at once
+//   6. ranks      what was asked for once is dropped before what was asked for again
+#include "policy.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <deque>
+#include <limits>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hareramp {
+namespace {
+
+// Constants. The design's own first, as the design page has them.
+constexpr Seconds kSpan = 10.0;        // s: span over which rates and shares are averaged (design)
+constexpr Seconds kHotSpan = 2.0;      // s: span over which an object's bytes are counted (design)
+constexpr double kHotShare = 0.25;     // of the home cache's rate: above it an object spreads (design)
+constexpr double kLowOfHigh = 0.1;     // of the high threshold: the low one (design)
+constexpr double kShareFloor = 0.06;   // hit share that keeps a member between the thresholds (design)
+constexpr Seconds kTrialEvery = 5.0;   // s: between trial fills of a dropped member (design)
+constexpr Seconds kMeasurable = 0.1;   // s of sending: shorter fills tell of delays, not of a rate
+constexpr Seconds kTrialFirst = 0.5;   // s: first trial of a node left out; doubles up to kTrialEvery
+constexpr int kStrikesOut = 2;         // silent hand-offs in a row: one may be chance
+constexpr Seconds kLongOut = 3.0;      // s: after a longer absence a node may have restarted unseen
+constexpr Seconds kSetup = 0.05;       // s: a hand-off's fixed part when times are put in proportion
+constexpr double kOverdue = 1.5;       // x expected time: a member on trial gets no more than this
+constexpr double kBudgetPart = 0.5;    // of the told limit: true capacity lies below the listed weight
+constexpr double kUnknownLink = 2.0;   // transfers: a link's size where no weight tells it, judged low
+constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
+constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
+constexpr Seconds kPause = 0.1;        // s: before asking again where all turned a pull away
+constexpr Seconds kComeBack = 1.0;     // s: advice to a bounced client, drawn from half of it upwards
+constexpr Seconds kListAgain = 1.0;    // s: before following the list anew after a failure
+constexpr Seconds kRemember = 30.0;    // s: how long an object counts as asked for before
+constexpr Seconds kSweepEvery = 5.0;   // s: between sweeps of what is no longer needed
+constexpr Seconds kLeastAge = 1e-5;    // s: an age bound must never round to 0, which means any age
+
+constexpr int kNobody = -1;
+constexpr Seconds kLongAgo = -1e9;
+
+// A mean whose past fades with kSpan, so that the weight is what was heard lately.
+struct Average {
+  double sum = 0, weight = 0;
+  Seconds at = 0;
+  void add(Seconds now, double value, double by) {
+    const double fade = std::exp((at - now) / kSpan);
+    sum = sum * fade + value;
+    weight = weight * fade + by;
+    at = now;
+  }
+  bool heard() const { return weight > 0; }
+  double mean() const { return sum / weight; }
+};
+
+std::uint64_t mix(std::uint64_t x) {
+  x += 0x9e3779b97f4a7c15u;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+  return x ^ (x >> 31);
+}
+
+// Our own hash of a node's id (FNV-1a): the same at every director and in every build.
+std::uint64_t hash_text(const std::string& text) {
+  std::uint64_t hash = 0xcbf29ce484222325u;
+  for (const unsigned char c : text) hash = (hash ^ c) * 0x100000001b3u;
+  return mix(hash);
+}
+
+enum class Effect { kRetriable, kFingerprinted, kBinding };
+
+struct Grade {
+  Seconds contract = 0.5, hard_stop = 5, window = 0, fresh = 0, grace = 0;
+  double stretch = 0;
+  Effect effect = Effect::kBinding;  // an unknown effect is treated as the strictest
+  std::string group = "all";
+  bool through = false;
+  Average send;
+};
+
+struct HandOff {
+  int node = kNobody, source = kNobody;
+  Seconds sent = 0, patience = 0;
+  bool out = true, cancelled = false, trial = false;
+  double node_charge = 0, source_charge = 0;
+};
+
+struct Pull {
+  PullId id;
+  int grade = 0;
+  std::uint64_t object = 0, unit = 0;
+  std::int64_t group = 0;
+  Seconds arrived = 0, hard_stop = 0, resume_at = kLongAgo, first_ran = 0;
+  double size_kb = 0;
+  bool write = false, hot = false, known = false;
+  bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
+  int first_node = kNobody, pauses = 0;
+  std::vector<HandOff> offs;
+  std::vector<int> bad_nodes, bad_sources;
+  int out() const {
+    return static_cast<int>(std::count_if(offs.begin(), offs.end(), [](const HandOff& h) { return h.out; }));
+  }
+};
+
+struct Unit {  // what is remembered of an object's part
+  double bytes = 0;
+  Seconds at = kLongAgo;
+};
+
+bool holds(const std::vector<int>& list, int node) {
+  return std::find(list.begin(), list.end(), node) != list.end();
+}
+
+}  // namespace
+
+struct Director::Mind {
+  struct Rule {
+    const char* name;
+    bool (Mind::*when)(const Pull&);
+    void (Mind::*then)(Pull&);
+  };
+  static const std::vector<Rule> kRules;
+
+  Mind(Seconds start, Settings given, std::uint64_t seed, Actions& sink)
+      : settings(std::move(given)),
+        actions(sink),
+        chance(static_cast<std::uint_fast32_t>(mix(seed))),
+        now(start) {
+    const int grades = static_cast<int>(number("RequestClasses.count", 1));
+    for (int i = 0; i < grades; ++i) {
+      const std::string at = "RequestClasses." + std::to_string(i) + ".";
+      Grade grade;
+      grade.contract = number(at + "PromiseS", grade.contract);
+      grade.hard_stop = number(at + "DeadlineS", grade.hard_stop);
+      grade.stretch = number(at + "AimStretch", 0);
+      grade.window = number(at + "WindowS", 0);
+      grade.group = text(at + "Group", "all");
+      const std::string effect = text(at + "Effect", "fragile");
+      if (effect == "retryable") grade.effect = Effect::kRetriable;
+      if (effect == "dedup") grade.effect = Effect::kFingerprinted;
+      grade.fresh = std::atof(item("FamilyInfo.GoodForS", i, "0").c_str());
+      grade.grace = std::atof(item("FamilyInfo.StaleForS", i, "0").c_str());
+      grade.through = item("FamilyInfo.GoesThrough", i, "false") == "true";
+      classes.push_back(grade);
+    }
+    here = static_cast<int>(number("Locality", 0));
+    parent_kind = static_cast<int>(number("FamilyInfo.ShieldKind", -1));
+    origin_kind = static_cast<int>(number("FamilyInfo.OriginKind", -1));
+    flow = number("FamilyInfo.StreamKbPerS", 0);
+    if (text("MembershipMode", "push") == "ask") actions.follow_list();
+    actions.wake(now + kSweepEvery, {"sweep"});
+  }
+
+  // --- settings -------------------------------------------------------------------------------------------
+  std::string text(const std::string& name, const std::string& fallback) const {
+    const auto found = settings.find(name);
+    return found == settings.end() || found->second.empty() ? fallback : found->second;
+  }
+  double number(const std::string& name, double fallback) const {
+    const std::string value = text(name, "");
+    return value.empty() ? fallback : std::atof(value.c_str());
+  }
+  bool allowed(const std::string& name, bool fallback = false) const {
+    return text(name, fallback ? "true" : "false") == "true";
+  }
+  std::string item(const std::string& name, int place, const std::string& fallback) const {
+    std::string rest = text(name, "");
+    for (; place > 0 && !rest.empty(); --place) {
+      const auto comma = rest.find(',');
+      rest = comma == std::string::npos ? "" : rest.substr(comma + 1);
+    }
+    rest = rest.substr(0, rest.find(','));
+    return rest.empty() ? fallback : rest;
+  }
+
+  // --- nodes ----------------------------------------------------------------------------------------------
+  bool is_parent(int n) const { return kind[n] == parent_kind; }
+  bool is_origin(int n) const { return kind[n] == origin_kind; }
+  int count() const { return static_cast<int>(name.size()); }
+  bool is_cache_kind(int n) const { return !is_parent(n) && !is_origin(n); }
+  bool is_cache(int n) const { return is_cache_kind(n) && zone[n] == here; }
+  bool is_out(int n) const { return out_since[n] > kLongAgo; }
+
+  int index_of(const NodeId& id) {
+    const auto [found, added] = index.emplace(id.value, static_cast<int>(name.size()));
+    if (added) {
+      name.push_back(id), hash.push_back(hash_text(id.value));
+      zone.push_back(-1), kind.push_back(-1), cell.push_back(-1), running.push_back(false);
+      listed.push_back(false), fresh.push_back(false), weight.push_back(1), launched.push_back(kLongAgo);
+      fill_rate.emplace_back(), held_share.emplace_back(), serve_rate.emplace_back();
+      strikes.push_back(0), out_since.push_back(kLongAgo), next_trial.push_back(kLongAgo),
+          back_off.push_back(0);
+      heard_at.push_back(kLongAgo), filled_at.push_back(kLongAgo), work_out.push_back(0),
+          ledger.emplace_back();
+    }
+    return found->second;
+  }
+
+  // Sizes that drift with load would move every home; there all count alike.
+  double hash_weight(int n) const {
+    return text("Weights", "none") == "live" ? 1 : std::max(weight[n], 1e-3);
+  }
+
+  std::vector<int> by_hash(std::uint64_t key, bool parents) const {
+    std::vector<std::pair<double, int>> scored;
+    for (int n = 0; n < count(); ++n) {
+      if (!listed[n] || !(parents ? is_parent(n) : is_cache(n))) continue;
+      const double draw = (static_cast<double>(mix(key ^ hash[n]) >> 11) + 0.5) / 9007199254740992.0;
+      scored.emplace_back(-std::log(draw) / hash_weight(n), n);
+    }
+    std::sort(scored.begin(), scored.end());
+    std::vector<int> order;
+    for (const auto& [score, n] : scored) order.push_back(n);
+    return order;
+  }
+
+  // --- the design: three bands, for siblings and parents alike ---------------------------------------------
+  Average pooled(const std::vector<Average>& figures, bool parents) const {
+    Average pool;
+    for (int n = 0; n < count(); ++n) {
+      if (!figures[n].heard() || (parents ? !is_parent(n) : !is_cache(n))) continue;
+      pool.add(0, figures[n].mean(), 1);
+    }
+    return pool;
+  }
+
+  bool kept(int n) const {
+    const bool parent = is_parent(n);
+    const Average peers = pooled(fill_rate, parent);
+    const Average above = parent ? origin_rate : pooled(fill_rate, true);
+    // An unheard cache counts as average; with nothing to compare with, nobody is dropped.
+    if (!above.heard() || !peers.heard()) return true;
+    const double high = above.mean(), low = kLowOfHigh * high;
+    const double rate = fill_rate[n].heard() ? fill_rate[n].mean() : peers.mean();
+    if (rate < low) return false;
+    if (rate > high) return true;
+    // Departure: a member that has just started holds little, and so do all after a purge of much. Its
+    // share then says nothing of its worth, so it counts as average, or nobody would ever come back.
+    const Average shares = pooled(held_share, parent);
+    if (cold(n) || !held_share[n].heard() || (shares.heard() && shares.mean() <= kShareFloor)) return true;
+    return held_share[n].mean() > kShareFloor;
+  }
+
+  // --- budgets: guards against pushing over what has just started
+  // -------------------------------------------
+  Seconds warms_in(int n) const {
+    return is_parent(n) ? number("FamilyInfo.ParentWarmsInS", 20) : number("Contract.ColdS", 20);
+  }
+  bool cold(int n) const { return !is_origin(n) && now - launched[n] < warms_in(n); }
+
+  double present_capacity(int n) const {
+    const std::string meaning = text("Weights", "none");
+    const double full = meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
+    const double from =
+        is_parent(n) ? number("FamilyInfo.ParentColdFrom", 0.05) : number("Contract.StartCapacity", 0.1);
+    const double warmed = std::clamp((now - launched[n]) / warms_in(n), 0.0, 1.0);
+    return full * (from + (1 - from) * warmed);
+  }
+
+  // All directors of a location share its caches, all directors together share the parents. Equal parts are
+  // safe without a word between them; it costs speed where one director has most of the traffic.
+  bool has_budget(int n, double work) {
+    if (!cold(n)) return true;
+    const Seconds span = number("Contract.FallS", 3);
+    const double limit =
+        is_parent(n) ? number("FamilyInfo.ParentLimitFactor", 2) : number("Contract.FallMultiple", 2);
+    const double directors =
+        is_parent(n) ? number("Balancers", 4) : std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str());
+    double used = 0;
+    std::erase_if(ledger[n], [&](const auto& entry) { return entry.first <= now - span; });
+    for (const auto& entry : ledger[n]) used += entry.second;
+    return used + work <= kBudgetPart * limit * present_capacity(n) * span / std::max(directors, 1.0);
+  }
+  double charge(int n, double work) {
+    if (!cold(n)) return 0;
+    ledger[n].emplace_back(now, work);
+    return work;
+  }
+
+  // --- health: guards against nodes that are silent, broken or cut off
+  // ---------------------------------------
+  void strike(int n, int by) {
+    strikes[n] += by;
+    if (is_out(n)) {
+      back_off[n] = std::min(2 * back_off[n], kTrialEvery);
+      next_trial[n] = now + back_off[n];
+    } else if (strikes[n] >= kStrikesOut) {
+      out_since[n] = now, back_off[n] = kTrialFirst, next_trial[n] = now + back_off[n];
+      actions.log("left out: " + name[n].value);
+    }
+  }
+  void answered(int n) {
+    heard_at[n] = now, strikes[n] = 0;
+    if (!is_out(n)) return;
+    if (now - out_since[n] > kLongOut) started(n, now);
+    out_since[n] = kLongAgo;
+    actions.log("back: " + name[n].value);
+  }
+  // Whatever was measured before a start tells nothing of what runs now.
+  void started(int n, Seconds at) {
+    if (at <= launched[n]) return;
+    launched[n] = at;
+    fill_rate[n] = held_share[n] = serve_rate[n] = Average();
+  }
+
+  // --- figures of a pull
+  // ------------------------------------------------------------------------------------
+  Grade& grade_of(const Pull& p) { return classes[p.grade]; }
+  double mean_send(const Pull& p) {
+    const Average& send = grade_of(p).send;
+    return send.heard() ? send.mean() : kUnknownSend;
+  }
+  double send_time(const Pull& p) { return flow > 0 && p.size_kb > 0 ? p.size_kb / flow : mean_send(p); }
+  Seconds expected(const Pull& p) { return (send_time(p) + kSetup) * (pace.heard() ? pace.mean() : 1.5); }
+  Seconds contract_time(const Pull& p) { return grade_of(p).contract + grade_of(p).stretch * send_time(p); }
+  bool time_for_another(const Pull& p) { return p.hard_stop - now > expected(p); }
+  bool hand_offs_left(const Pull& p) const {
+    return static_cast<double>(p.offs.size()) < number("Permissions.MaxAttempts", 1);
+  }
+
+  // Rule 2: a fingerprinted pull that may have run stays in the group that knows the repeat, in its window.
+  bool may_go_to(const Pull& p, int n) {
+    const Grade& grade = grade_of(p);
+    if (grade.effect == Effect::kRetriable || (!p.may_have_run && p.out() == 0)) return true;
+    if (grade.effect == Effect::kBinding) return false;
+    if (now > p.first_ran + grade.window) return false;
+    if (grade.group == "zone") return zone[n] == zone[p.first_node];
+    if (grade.group == "cell") return cell[n] == cell[p.first_node];
+    return grade.group == "all";
+  }
+
+  // The design's spread: what passes a quarter of its home's rate. An unheard home counts as average.
+  bool is_hot(const Pull& p, double bytes) {
+    const std::vector<int> order = by_hash(p.unit, false);
+    if (order.empty()) return false;
+    const Average peers = pooled(serve_rate, false);
+    const Average& home = serve_rate[order[0]];
+    const double rate = home.heard() ? home.mean() : peers.heard() ? peers.mean() : flow;
+    return rate > 0 && bytes / kHotSpan > kHotShare * rate;
+  }
+
+  Seconds oldest_copy(const Pull& p) {
+    const Grade& grade = grade_of(p);
+    Seconds bound = grade.fresh > 0 && p.stale_will_do ? grade.fresh + grade.grace : grade.fresh;
+    // Rule 5: both kinds of purge count until every node must have dropped its older copies.
+    const auto bound_by = [&](const auto& purges, const auto& key) {
+      const auto found = purges.find(key);
+      if (found == purges.end()) return;
+      const Seconds since = std::max(now - found->second, kLeastAge);
+      bound = bound > 0 ? std::min(bound, since) : since;
+    };
+    bound_by(object_purges, p.object);
+    bound_by(group_purges, p.group);
+    return bound;
+  }
+
+  // --- choices: pure, so that a rule may ask before it acts
+  // --------------------------------------------------
+  struct Way {
+    int node = kNobody, source = kNobody, trial = kNobody;
+    explicit operator bool() const { return node != kNobody && source != kNobody; }
+  };
+  bool trial_due(const Pull& p, int n) {
+    return grade_of(p).effect == Effect::kRetriable && p.offs.empty() && now >= next_trial[n];
+  }
+  double load(int n) const { return work_out[n] / hash_weight(n); }
+
+  // The cache for a pull: its home, or the next by the hash that can take it; of the top two for a spread
+  // object the one with less of our work in hand. One that is left out gets a pull now and then as a trial.
+  Way choose_cache(const Pull& p) {
+    const double work = mean_send(p);
+    std::vector<int> top;
+    for (const int n : by_hash(p.unit, false)) {
+      if (!running[n] || holds(p.bad_nodes, n) || !may_go_to(p, n) || !has_budget(n, work)) continue;
+      if (is_out(n)) {
+        if (trial_due(p, n)) return {n, n, n};
+        continue;
+      }
+      top.push_back(n);
+      if (!p.hot || top.size() == 2) break;
+    }
+    if (top.empty()) return {};
+    const int n = top.size() == 2 && load(top[1]) < load(top[0]) ? top[1] : top[0];
+    return {n, n, kNobody};
+  }
+
+  bool can_give(const Pull& p, int n) {
+    return running[n] && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
+  }
+
+  // The design's companion: a spread object is filled from the other cache of the hash's top two.
+  Way spread_way(const Pull& p) {
+    if (!p.hot || text("FamilyInfo.PeersFill", "none") == "none") return {};
+    const Way way = choose_cache(p);
+    if (!way || way.trial != kNobody) return {};
+    const std::vector<int> order = by_hash(p.unit, false);
+    for (std::size_t i = 0; i < std::min<std::size_t>(2, order.size()); ++i) {
+      const int n = order[i];
+      if (n == way.node || !can_give(p, n) || is_out(n)) continue;
+      if (kept(n)) return {way.node, n, kNobody};
+      if (trial_due(p, n)) return {way.node, n, n};
+    }
+    return {};
+  }
+
+  // All other fills, and retries after a sibling miss: the object's first kept parent by the hash.
+  int choose_parent(const Pull& p, int& trial) {
+    for (const int n : by_hash(mix(p.object), true)) {
+      if (!can_give(p, n)) continue;
+      if (!is_out(n) && kept(n)) return n;
+      if (trial == kNobody && trial_due(p, n)) return trial = n;
+    }
+    return kNobody;
+  }
+  Way parent_way(const Pull& p) {
+    Way way = choose_cache(p);
+    if (!way) return {};
+    way.source = choose_parent(p, way.trial);
+    return way;
+  }
+  int choose_origin(const Pull& p) {
+    for (int n = 0; n < count(); ++n)
+      if (is_origin(n) && !is_out(n) && can_give(p, n)) return n;
+    return kNobody;
+  }
+  Way origin_way(const Pull& p) {
+    Way way = choose_cache(p);
+    way.source = choose_origin(p);
+    return way;
+  }
+  // Past the caches, where the site lets us: only when none of them can take the pull.
+  Way straight_way(const Pull& p) {
+    if (!allowed("FamilyInfo.Direct")) return {};
+    Way way;
+    way.node = choose_parent(p, way.trial);
+    if (way.node == kNobody) way.node = choose_origin(p);
+    way.source = way.node;
+    if (way.node == kNobody || !may_go_to(p, way.node)) return {};
+    if (is_parent(way.node)) way.source = choose_origin(p);
+    return way;
+  }
+  // A write is never kept: no hierarchy can serve it. It takes the way with the fewest parts that can fail.
+  Way write_way(const Pull& p) {
+    const int origin = choose_origin(p);
+    if (origin != kNobody && allowed("FamilyInfo.Direct") && may_go_to(p, origin))
+      return {origin, origin, kNobody};
+    const Way by_origin = origin_way(p);
+    return by_origin ? by_origin : parent_way(p);
+  }
+  // A copy past its fresh time, where the grade allows one and all else has failed.
+  Way stale_way(const Pull& p) {
+    if (p.stale_will_do || grade_of(p).grace <= 0) return {};
+    return choose_cache(p);
+  }
+
+  void hand_off(Pull& p, const Way& way) {
+    HandOff off;
+    off.node = way.node, off.source = way.source, off.sent = now, off.trial = way.trial != kNobody;
+    off.node_charge = charge(way.node, mean_send(p));
+    if (way.source != way.node) off.source_charge = charge(way.source, send_time(p));
+    if (off.trial) next_trial[way.trial] = now + (is_out(way.trial) ? back_off[way.trial] : kTrialEvery);
+    const Seconds wait = expected(p), in_hand = contract_time(p) - (now - p.arrived) - wait;
+    // As long as a further hand-off could still make the contract time; less for a member on trial.
+    off.patience = off.trial ? kOverdue * wait : std::max(kOverdue * wait, in_hand);
+    FillTerms fill;
+    fill.source = name[way.source];
+    fill.oldest_copy = oldest_copy(p);
+    fill.rank = is_write(p) ? 0 : p.hot ? 3 : p.known ? 2 : 1;
+    fill.join = allowed("FamilyInfo.CanJoin");
+    fill.renew = grade_of(p).fresh > 0;
+    const bool repeatable = grade_of(p).effect == Effect::kRetriable;
+    const bool call_back = allowed("Permissions.SecondCopies") || allowed("Permissions.Cancel");
+    if (p.out() == 0 && !p.may_have_run) p.first_node = way.node, p.first_ran = now;
+    p.offs.push_back(off);
+    p.overdue = false;
+    work_out[way.node] += send_time(p);
+    actions.hand_off(p.id, name[way.node], fill, repeatable && !call_back ? off.patience : 0);
+    if (repeatable && call_back && now + off.patience < p.hard_stop)
+      actions.wake(now + off.patience, {"late:" + std::to_string(p.offs.size() - 1) + ":" + p.id.value});
+  }
+
+  // --- the rules: conditions and effects
+  // ----------------------------------------------------------------------
+  bool owed(const Pull& p) { return !p.over && !p.bound; }
+  bool idle(const Pull& p) { return owed(p) && p.out() == 0 && now >= p.resume_at; }
+  bool ready(const Pull& p) {
+    if (!owed(p) || !hand_offs_left(p) || !time_for_another(p)) return false;
+    return idle(p) || (p.overdue && p.out() == 1 && allowed("Permissions.SecondCopies"));
+  }
+  bool is_write(const Pull& p) { return p.write || grade_of(p).through; }
+  bool fills(const Pull& p) { return ready(p) && !is_write(p); }
+
+  bool is_quiet(const Pull& p) { return p.over && p.out() == 0; }
+  void forget(Pull& p) { pulls.erase(PullId(p.id)); }
+
+  bool has_leftovers(const Pull& p) {
+    if (!p.over || !allowed("Permissions.Cancel")) return false;
+    return std::any_of(p.offs.begin(), p.offs.end(), [](const HandOff& h) { return h.out && !h.cancelled; });
+  }
+  void call_off(Pull& p) {
+    for (std::size_t i = 0; i < p.offs.size(); ++i) {
+      if (!p.offs[i].out || p.offs[i].cancelled) continue;
+      p.offs[i].cancelled = true;
+      actions.cancel(p.id, {static_cast<int>(i)});
+    }
+  }
+
+  bool time_is_up(const Pull& p) { return owed(p) && now >= p.hard_stop - number("PeriodS", 0.001); }
+  void forfeit(Pull& p) {
+    p.over = true;
+    actions.forfeit(p.id);
+  }
+
+  // Rule 2: a binding pull that may have run gets no further hand-off, and no promise.
+  bool is_spent(const Pull& p) {
+    const bool stuck = p.may_have_run && grade_of(p).effect == Effect::kBinding;
+    return idle(p) && (stuck || !hand_offs_left(p) || !time_for_another(p));
+  }
+  void give_up(Pull& p) {
+    const Grade& grade = grade_of(p);
+    const bool harmless = grade.effect == Effect::kRetriable || (!p.may_have_run && p.out() == 0) ||
+                          (grade.effect == Effect::kFingerprinted && grade.group == "all");
+    if (!harmless) return forfeit(p);
+    p.over = true;
+    const double draw = std::uniform_real_distribution<double>(0.5, 1)(chance);
+    const Seconds most = std::min(kComeBack, number("Permissions.MaxRetryAfterS", 0));
+    actions.bounce(p.id, allowed("Permissions.RetryAfter") ? draw * most : 0);
+  }
+
+  bool has_write_way(const Pull& p) { return ready(p) && is_write(p) && write_way(p); }
+  void take_write_way(Pull& p) { hand_off(p, write_way(p)); }
+  bool has_spread_way(const Pull& p) { return fills(p) && spread_way(p); }
+  void take_spread_way(Pull& p) { hand_off(p, spread_way(p)); }
+  bool has_parent_way(const Pull& p) { return fills(p) && parent_way(p); }
+  void take_parent_way(Pull& p) { hand_off(p, parent_way(p)); }
+  bool has_origin_way(const Pull& p) { return fills(p) && origin_way(p); }
+  void take_origin_way(Pull& p) { hand_off(p, origin_way(p)); }
+  bool has_straight_way(const Pull& p) { return fills(p) && straight_way(p); }
+  void take_straight_way(Pull& p) { hand_off(p, straight_way(p)); }
+  bool has_stale_way(const Pull& p) { return fills(p) && stale_way(p); }
+  void take_stale_way(Pull& p) {
+    const Way way = stale_way(p);
+    p.stale_will_do = true;
+    hand_off(p, way);
+  }
+
+  // Where others only turned the pull away, they are asked once more after a moment.
+  bool may_pause(const Pull& p) {
+    return idle(p) && !p.offs.empty() && p.pauses < kPauses && p.hard_stop - now > kPause + expected(p);
+  }
+  void pause(Pull& p) {
+    ++p.pauses;
+    p.bad_nodes.clear(), p.bad_sources.clear();
+    p.resume_at = now + kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance);
+    actions.wake(p.resume_at, {"resume:" + p.id.value});
+  }
+  bool is_late_alone(const Pull& p) { return owed(p) && p.overdue; }
+  void wait_on(Pull& p) { p.overdue = false; }
+
+  void go_through_rules() {
+    for (std::size_t i = 0; i < touched.size(); ++i) {
+      for (bool fired = true; fired;) {
+        fired = false;
+        for (const Rule& rule : kRules) {
+          const auto found = pulls.find(touched[i]);
+          if (found == pulls.end()) break;
+          if (!(this->*rule.when)(found->second)) continue;
+          (this->*rule.then)(found->second);
+          fired = true;
+          break;
+        }
+      }
+    }
+    touched.clear();
+  }
+
+  // --- what is learnt from outcomes
+  // -----------------------------------------------------------------------------
+  void learn(Pull& p, HandOff& off, Result result, Note note, Seconds waited, Seconds spent) {
+    const int c = off.node, s = off.source;
+    const bool asked = s != c;
+    const bool lost = note == Note::kSourceLost;
+    if (result == Result::kCompleted || result == Result::kError || result == Result::kAbsent ||
+        result == Result::kTurnedAway)
+      answered(c);
+    switch (result) {
+      case Result::kCompleted: {
+        const bool filled = note == Note::kFilled || note == Note::kFilledByOrigin;
+        const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
+        if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
+        if (measurable) serve_rate[c].add(now, p.size_kb, spent);
+        if (asked && !filled) settle(s, off.source_charge);
+        if (!asked || !filled) break;
+        answered(s), filled_at[s] = now;
+        if (measurable) {
+          fill_rate[s].add(now, p.size_kb, spent);
+          if (note == Note::kFilledByOrigin && is_parent(s)) origin_rate.add(now, p.size_kb, spent);
+          if (is_origin(s)) origin_rate.add(now, p.size_kb, spent);
+        }
+        // Only full notes tell whether a parent held it; a sibling gives nothing else than what it holds.
+        if (is_cache_kind(s) || text("FamilyInfo.Tells", "none") == "all")
+          held_share[s].add(now, note == Note::kFilled ? 1 : 0, 1);
+        break;
+      }
+      case Result::kAbsent:
+        if (!asked) break;
+        if (is_cache_kind(s)) answered(s), held_share[s].add(now, 0, 1);
+        p.bad_sources.push_back(s);
+        break;
+      case Result::kTurnedAway:
+      case Result::kError:
+        if (asked && (lost || note == Note::kSourceRefused || note == Note::kOriginFailed)) {
+          p.bad_sources.push_back(s);
+          if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
+        } else if (result == Result::kTurnedAway) {
+          p.bad_nodes.push_back(c);
+        }
+        break;
+      case Result::kUnreachable:
+      case Result::kBroken:
+        strike(c, kStrikesOut);
+        p.bad_nodes.push_back(c);
+        break;
+      case Result::kTimedOut:
+        suspect(p, off);
+        break;
+      case Result::kCancelled:
+      case Result::kNotSent:
+        break;
+    }
+  }
+  // A fill that never took place is taken off the source's budget again.
+  void settle(int n, double work) {
+    if (work > 0) ledger[n].emplace_back(now, -work);
+  }
+
+  // Who is to blame for a hand-off that stays out: the cache if nobody has heard of it since, else the source
+  // if nothing has come from it since. If both have been heard of, they are slow, and no other would be
+  // faster.
+  bool suspect(Pull& p, const HandOff& off) {
+    if (heard_at[off.node] < off.sent) {
+      strike(off.node, 1);
+      p.bad_nodes.push_back(off.node);
+      return true;
+    }
+    if (off.source == off.node || filled_at[off.source] >= off.sent) return false;
+    strike(off.source, 1);
+    p.bad_sources.push_back(off.source);
+    return true;
+  }
+  void late(const PullId& id, std::size_t place) {
+    const auto found = pulls.find(id);
+    if (found == pulls.end() || place >= found->second.offs.size()) return;
+    Pull& p = found->second;
+    HandOff& off = p.offs[place];
+    if (!off.out || off.cancelled || !owed(p)) return;
+    if (!suspect(p, off)) return;
+    if (allowed("Permissions.SecondCopies")) {
+      p.overdue = true;
+    } else if (time_for_another(p) && hand_offs_left(p)) {
+      off.cancelled = true;
+      actions.cancel(id, {static_cast<int>(place)});
+    }
+    touched.push_back(id);
+  }
+
+  void sweep() {
+    std::erase_if(units, [&](const auto& entry) { return now - entry.second.at > kRemember; });
+    const Seconds done = number("FamilyInfo.PurgeDoneS", 10) + 1;
+    std::erase_if(object_purges, [&](const auto& entry) { return now - entry.second > done; });
+    std::erase_if(group_purges, [&](const auto& entry) { return now - entry.second > done; });
+    actions.wake(now + kSweepEvery, {"sweep"});
+  }
+
+  std::vector<PullId> touched;
+  Settings settings;
+  Actions& actions;
+  std::knuth_b chance;
+  Seconds now;
+  std::vector<Grade> classes;
+  int here = 0, parent_kind = -1, origin_kind = -1;
+  double flow = 0;
+  ListScope scope = ListScope::kCached;
+  Average pace, origin_rate;
+
+  std::unordered_map<std::string, int> index;
+  std::vector<NodeId> name;
+  std::vector<std::uint64_t> hash;
+  std::vector<int> zone, kind, cell;
+  std::vector<char> running, listed, fresh;
+  std::vector<double> weight;
+  std::vector<Seconds> launched;
+  std::vector<Average> fill_rate, held_share, serve_rate;
+  std::vector<int> strikes;
+  std::vector<Seconds> out_since, next_trial, back_off, heard_at, filled_at;
+  std::vector<double> work_out;
+  std::vector<std::vector<std::pair<Seconds, double>>> ledger;
+
+  std::map<PullId, Pull> pulls;
+  std::unordered_map<std::uint64_t, Unit> units;
+  std::map<std::uint64_t, Seconds> object_purges;
+  std::map<std::int64_t, Seconds> group_purges;
+};
+
+// From the top, until none fires. Each is a condition and an effect, both above.
+const std::vector<Director::Mind::Rule> Director::Mind::kRules = {
+    {"over and all heard: forget it", &Mind::is_quiet, &Mind::forget},
+    {"over with hand-offs out: call them off", &Mind::has_leftovers, &Mind::call_off},
+    {"its time is up: forfeit", &Mind::time_is_up, &Mind::forfeit},
+    {"no further hand-off may or can be made: give it up", &Mind::is_spent, &Mind::give_up},
+    {"a write: the shortest way to the origin", &Mind::has_write_way, &Mind::take_write_way},
+    {"spread: one of the top two, filled from the other", &Mind::has_spread_way, &Mind::take_spread_way},
+    {"ordinary: home, filled from the first kept parent", &Mind::has_parent_way, &Mind::take_parent_way},
+    {"no parent kept: home, filled from the origin", &Mind::has_origin_way, &Mind::take_origin_way},
+    {"no cache can take it: straight to a parent", &Mind::has_straight_way, &Mind::take_straight_way},
+    {"nothing fresh to be had: a stale copy", &Mind::has_stale_way, &Mind::take_stale_way},
+    {"late, and nobody else to ask: wait on", &Mind::is_late_alone, &Mind::wait_on},
+    {"turned away by all: ask again in a moment", &Mind::may_pause, &Mind::pause},
+    {"nobody to ask: give it up", &Mind::idle, &Mind::give_up},
+};
+
+// --- inputs
+// -----------------------------------------------------------------------------------------------------
+
+Director::Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions)
+    : mind_(std::make_unique<Mind>(now, std::move(settings), seed, actions)) {}
+Director::~Director() = default;
+
+void Director::list_starts(Seconds now, ListScope scope) {
+  Mind& m = *mind_;
+  m.now = now, m.scope = scope;
+  if (scope == ListScope::kFailed) m.actions.wake(now + kListAgain, {"list"});
+  if (scope == ListScope::kFull || scope == ListScope::kCached)
+    std::fill(m.fresh.begin(), m.fresh.end(), false);
+}
+
+void Director::list_entry(Seconds now, const NodeId& node, ZoneIndex zone, KindIndex kind, CellIndex cell,
+                          Readiness readiness, double weight, Seconds launched) {
+  Mind& m = *mind_;
+  m.now = now;
+  const int n = m.index_of(node);
+  const bool newly = !m.listed[n] && m.scope == ListScope::kChanges;
+  m.zone[n] = zone.value, m.kind[n] = kind.value, m.cell[n] = cell.value, m.weight[n] = weight;
+  m.listed[n] = m.fresh[n] = readiness != Readiness::kGone;
+  m.running[n] = readiness == Readiness::kRunning;
+  // What comes up without a start time may have started this moment.
+  if (launched > 0)
+    m.started(n, launched);
+  else if (newly && m.running[n])
+    m.started(n, now);
+}
+
+void Director::list_ends(Seconds now) {
+  Mind& m = *mind_;
+  m.now = now;
+  if (m.scope == ListScope::kFull || m.scope == ListScope::kCached) {
+    for (int n = 0; n < m.count(); ++n)
+      if (!m.fresh[n]) m.listed[n] = m.running[n] = false;  // rule 3: missing from a full list is gone
+  }
+  m.go_through_rules();
+}
+
+void Director::pull_arrived(Seconds now, const PullId& id, GradeIndex grade, TenantIndex, ObjectId object,
+                            PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool,
+                            bool is_write) {
+  Mind& m = *mind_;
+  m.now = now;
+  Pull p;
+  p.id = id, p.grade = std::clamp(grade.value, 0, static_cast<int>(m.classes.size()) - 1);
+  p.object = object.value, p.unit = mix(object.value) ^ mix(~static_cast<std::uint64_t>(part.value));
+  p.group = group.value, p.arrived = now, p.hard_stop = hard_stop, p.size_kb = size_kb, p.write = is_write;
+  if (m.flow > 0 && size_kb > 0) m.classes[p.grade].send.add(now, size_kb / m.flow, 1);
+  if (!m.is_write(p)) {
+    Unit& unit = m.units[p.unit];
+    p.known = unit.at > kLongAgo;
+    unit.bytes = unit.bytes * std::exp((unit.at - now) / kHotSpan) + size_kb;
+    unit.at = now;
+    p.hot = m.is_hot(p, unit.bytes);
+  }
+  m.pulls.insert_or_assign(id, std::move(p));
+  m.touched.push_back(id);
+  m.go_through_rules();
+}
+
+void Director::pull_dropped(Seconds now, const PullId& id) {
+  Mind& m = *mind_;
+  m.now = now;
+  const auto found = m.pulls.find(id);
+  if (found == m.pulls.end()) return;
+  found->second.over = true;
+  m.touched.push_back(id);
+  m.go_through_rules();
+}
+
+void Director::hand_off_begun(Seconds now, const PullId& id, HandOffNumber) {
+  Mind& m = *mind_;
+  m.now = now;
+  const auto found = m.pulls.find(id);
+  if (found != m.pulls.end()) found->second.bound = found->second.may_have_run = true;
+}
+
+void Director::hand_off_ended(Seconds now, const PullId& id, HandOffNumber number, const NodeId&,
+                              Result result, Note note, Seconds waited, Seconds spent, const LoadReport&,
+                              bool pull_over) {
+  Mind& m = *mind_;
+  m.now = now;
+  const auto found = m.pulls.find(id);
+  if (found == m.pulls.end()) return;
+  Pull& p = found->second;
+  p.over = p.over || pull_over;
+  const auto place = static_cast<std::size_t>(number.value);
+  if (number.value >= 0 && place < p.offs.size() && p.offs[place].out) {
+    HandOff& off = p.offs[place];
+    off.out = false;
+    m.work_out[off.node] -= m.send_time(p);
+    const bool never_ran = result == Result::kTurnedAway || result == Result::kUnreachable ||
+                           result == Result::kNotSent || result == Result::kAbsent;
+    p.may_have_run = p.may_have_run || !never_ran;
+    m.learn(p, off, result, note, waited, spent);
+  }
+  m.touched.push_back(id);
+  m.go_through_rules();
+}
+
+void Director::probe_ended(Seconds now, const NodeId&, Result, const LoadReport&) { mind_->now = now; }
+
+// The moment of a purge is kept, not its age: bounds are taken from it when a pull is sent.
+void Director::object_purged(Seconds now, ObjectId object, Seconds age) {
+  mind_->now = now;
+  Seconds& at = mind_->object_purges.try_emplace(object.value, now - age).first->second;
+  at = std::max(at, now - age);
+}
+void Director::group_purged(Seconds now, GroupId group, Seconds age) {
+  mind_->now = now;
+  Seconds& at = mind_->group_purges.try_emplace(group.value, now - age).first->second;
+  at = std::max(at, now - age);
+}
+
+void Director::woken(Seconds now, const TimerToken& token) {
+  Mind& m = *mind_;
+  m.now = now;
+  const std::string& words = token.value;
+  if (words == "sweep") m.sweep();
+  if (words == "list") m.actions.follow_list();
+  if (words.starts_with("resume:")) m.touched.push_back({words.substr(7)});
+  if (words.starts_with("late:")) {
+    const auto colon = words.find(':', 5);
+    if (colon != std::string::npos)
+      m.late({words.substr(colon + 1)}, static_cast<std::size_t>(std::atoi(words.c_str() + 5)));
+  }
+  m.go_through_rules();
+}
+
+}  // namespace hareramp
--- /dev/null
+++ b/src/policy.hpp
@@ -0,0 +1,120 @@
+// The interface of the decision module. It knows no protocol: whoever stands before it calls one method of
+// Director for each thing that happened and carries out what comes back through Actions.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hareramp {
+
+// Ids: one type each, so that none can be handed over in another's place.
+template <class Tag, class Value>
+struct Id {
+  Value value{};
+  auto operator<=>(const Id&) const = default;
+};
+using PullId = Id<struct PullTag, std::string>;
+using NodeId = Id<struct NodeTag, std::string>;
+using TimerToken = Id<struct TimerTag, std::string>;
+using ObjectId = Id<struct ObjectTag, std::uint64_t>;
+using GroupId = Id<struct GroupTag, std::int64_t>;
+using PartNumber = Id<struct PartTag, std::int64_t>;
+using GradeIndex = Id<struct GradeTag, int>;
+using TenantIndex = Id<struct TenantTag, int>;
+using ZoneIndex = Id<struct ZoneTag, int>;
+using KindIndex = Id<struct KindTag, int>;
+using CellIndex = Id<struct CellTag, int>;
+using HandOffNumber = Id<struct HandOffTag, int>;
+
+using Seconds = double;
+using Settings = std::map<std::string, std::string>;  // names as the caller knows them, values as text
+using LoadReport = std::map<std::string, double>;     // a node's own figures, by name
+
+enum class Result {
+  kCompleted,
+  kError,
+  kTurnedAway,
+  kTimedOut,
+  kUnreachable,
+  kBroken,
+  kCancelled,
+  kNotSent,
+  kAbsent
+};
+enum class Note {
+  kNone,
+  kHit,
+  kFilled,
+  kFilledByOrigin,
+  kJoined,
+  kStale,
+  kSourceRefused,
+  kSourceLost,
+  kSourceLacks,
+  kNoPlace,
+  kOriginFailed
+};
+enum class Readiness { kRunning, kDraining, kGone };
+enum class ListScope { kChanges, kFull, kCached, kFailed };
+
+// How a miss is filled and what is kept of it.
+struct FillTerms {
+  NodeId source;            // the node itself: no fill
+  int rank = 0;             // 0 passes the object through; the lowest rank is dropped first
+  Seconds oldest_copy = 0;  // 0 leaves it to the grade's fresh time
+  bool join = false;
+  bool held_only = false;
+  bool pass_parent = false;
+  bool renew = false;
+};
+
+// What the module can have done. Only called from within a call of Director.
+class Actions {
+ public:
+  virtual ~Actions() = default;
+  virtual void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) = 0;
+  virtual void cancel(const PullId& pull, HandOffNumber number) = 0;
+  virtual void bounce(const PullId& pull, Seconds come_back_in) = 0;
+  virtual void forfeit(const PullId& pull) = 0;
+  virtual void wake(Seconds at, const TimerToken& token) = 0;
+  virtual void probe(const NodeId& node) = 0;
+  virtual void follow_list() = 0;
+  virtual void log(const std::string& words) = 0;
+};
+
+// One director. Every call carries the clock; time never goes back.
+class Director {
+ public:
+  Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions);
+  ~Director();
+  Director(const Director&) = delete;
+  Director& operator=(const Director&) = delete;
+
+  // The list of nodes comes as a start, an entry for each node, and an end.
+  void list_starts(Seconds now, ListScope scope);
+  void list_entry(Seconds now, const NodeId& node, ZoneIndex zone, KindIndex kind, CellIndex cell,
+                  Readiness readiness, double weight, Seconds launched);
+  void list_ends(Seconds now);
+
+  void pull_arrived(Seconds now, const PullId& pull, GradeIndex grade, TenantIndex tenant, ObjectId object,
+                    PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool resent,
+                    bool is_write);
+  void pull_dropped(Seconds now, const PullId& pull);
+  void hand_off_begun(Seconds now, const PullId& pull, HandOffNumber number);
+  void hand_off_ended(Seconds now, const PullId& pull, HandOffNumber number, const NodeId& node,
+                      Result result, Note note, Seconds waited, Seconds spent, const LoadReport& report,
+                      bool pull_over);
+  void probe_ended(Seconds now, const NodeId& node, Result result, const LoadReport& report);
+  void object_purged(Seconds now, ObjectId object, Seconds age);
+  void group_purged(Seconds now, GroupId group, Seconds age);
+  void woken(Seconds now, const TimerToken& token);
+
+ private:
+  struct Mind;
+  std::unique_ptr<Mind> mind_;
+};
+
+}  // namespace hareramp
