Resume a paused pull although its wake comes a rounding error early

Cause: the wake was asked for at a time that the wire rounds to microseconds, came a hair early, and the pull stayed held until its hard stop.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -857,7 +857,13 @@
   const std::string& words = token.value;
   if (words == "sweep") m.sweep();
   if (words == "list") m.actions.follow_list();
-  if (words.starts_with("resume:")) m.touched.push_back({words.substr(7)});
+  if (words.starts_with("resume:")) {
+    const auto found = m.pulls.find({words.substr(7)});
+    // Guards against a clock that rounds: a wake may come a hair before the time that was asked for, and no
+    // second one would follow; the pull would be held until its hard stop.
+    if (found != m.pulls.end()) found->second.resume_at = kLongAgo;
+    m.touched.push_back({words.substr(7)});
+  }
   if (words.starts_with("late:")) {
     const auto colon = words.find(':', 5);
     if (colon != std::string::npos)
