--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -44,12 +44,19 @@
 constexpr double kUnknownLink = 2.0;   // transfers: a link's size where no weight tells it, judged low
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
-constexpr Seconds kPause = 0.1;        // s: before asking again where all turned a pull away
-constexpr Seconds kComeBack = 1.0;     // s: advice to a bounced client, drawn from half of it upwards
-constexpr Seconds kListAgain = 1.0;    // s: before following the list anew after a failure
-constexpr Seconds kRemember = 30.0;    // s: how long an object counts as asked for before
-constexpr Seconds kSweepEvery = 5.0;   // s: between sweeps of what is no longer needed
-constexpr Seconds kLeastAge = 1e-5;    // s: an age bound must never round to 0, which means any age
+constexpr double kCrowd = 2.0;         // x its undisturbed time: what a pull at a crowded node may take
+constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
+constexpr double kGrow = 0.1;         // transfers: more room after one that did not, at a node near its limit
+constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
+constexpr double kSmallExtra = 1.5;   // x room for pulls too short to measure: much utility, little work
+constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
+constexpr Seconds kComeBack = 1.0;    // s: advice to a bounced client, drawn from half of it upwards
+constexpr Seconds kListAgain = 1.0;   // s: before following the list anew after a failure
+constexpr Seconds kRemember = 30.0;   // s: how long an object counts as asked for before
+constexpr Seconds kSweepEvery = 5.0;  // s: between sweeps of what is no longer needed
+constexpr Seconds kLeastAge = 1e-5;   // s: an age bound must never round to 0, which means any age
+
+constexpr int kTop = 2;  // caches by the hash that a pull may go to when others are crowded
 
 constexpr int kNobody = -1;
 constexpr Seconds kLongAgo = -1e9;
@@ -203,10 +210,9 @@
       zone.push_back(-1), kind.push_back(-1), cell.push_back(-1), running.push_back(false);
       listed.push_back(false), fresh.push_back(false), weight.push_back(1), launched.push_back(kLongAgo);
       fill_rate.emplace_back(), held_share.emplace_back(), serve_rate.emplace_back();
-      strikes.push_back(0), out_since.push_back(kLongAgo), next_trial.push_back(kLongAgo),
-          back_off.push_back(0);
-      heard_at.push_back(kLongAgo), filled_at.push_back(kLongAgo), work_out.push_back(0),
-          ledger.emplace_back();
+      strikes.push_back(0), back_off.push_back(0), ledger.emplace_back();
+      work_out.push_back(0), room.push_back(0), out_here.push_back(0), out_from.push_back(0);
+      for (auto* times : {&out_since, &next_trial, &heard_at, &filled_at, &cut_at}) times->push_back(kLongAgo);
     }
     return found->second;
   }
@@ -292,6 +298,35 @@
     return work;
   }
 
+  // --- load: guards against a crowd that makes everybody late
+  // ------------------------------------------------ How many of our transfers a node may hold at once, so
+  // that each ends within kCrowd times its undisturbed time. It starts from the listed weight and follows
+  // what is measured, whatever slows the node down.
+  double first_room(int n) const {
+    const std::string meaning = text("Weights", "none");
+    const double full = meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
+    return std::max(1.0, kCrowd * full / sharers(n));
+  }
+  double sharers(int n) const {
+    const double all = number("Balancers", 4);
+    return is_cache_kind(n) ? std::max(1.0, std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str()))
+                            : all;
+  }
+  bool has_room(const Pull& p, int n) {
+    if (room[n] <= 0) room[n] = first_room(n);
+    return out_here[n] < room[n] * (send_time(p) < kMeasurable ? kSmallExtra : 1);
+  }
+  void measure_room(int n, double in_use, double slowness, Seconds sent) {
+    if (room[n] <= 0) room[n] = first_room(n);
+    if (slowness > kCrowd) {
+      if (sent <= cut_at[n]) return;  // it was out already when the room was last cut
+      cut_at[n] = now;
+      room[n] = std::max(1.0, kCut * room[n]);
+    } else if (in_use >= kNearLimit * room[n]) {
+      room[n] += kGrow;
+    }
+  }
+
   // --- health: guards against nodes that are silent, broken or cut off
   // ---------------------------------------
   void strike(int n, int by) {
@@ -385,12 +420,16 @@
   Way choose_cache(const Pull& p) {
     const double work = mean_send(p);
     std::vector<int> top;
+    int asked = 0;
     for (const int n : by_hash(p.unit, false)) {
+      if (asked == kTop) break;
       if (!running[n] || holds(p.bad_nodes, n) || !may_go_to(p, n) || !has_budget(n, work)) continue;
       if (is_out(n)) {
         if (trial_due(p, n)) return {n, n, n};
         continue;
       }
+      ++asked;
+      if (!has_room(p, n)) continue;
       top.push_back(n);
       if (!p.hot || top.size() == 2) break;
     }
@@ -489,6 +528,7 @@
     p.offs.push_back(off);
     p.overdue = false;
     work_out[way.node] += send_time(p);
+    ++out_here[way.node], ++out_from[way.source];
     actions.hand_off(p.id, name[way.node], fill, repeatable && !call_back ? off.patience : 0);
     if (repeatable && call_back && now + off.patience < p.hard_stop)
       actions.wake(now + off.patience, {"late:" + std::to_string(p.offs.size() - 1) + ":" + p.id.value});
@@ -604,6 +644,7 @@
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         if (measurable) serve_rate[c].add(now, p.size_kb, spent);
+        if (measurable && !filled) measure_room(c, out_here[c] + 1, spent / send_time(p), off.sent);
         if (asked && !filled) settle(s, off.source_charge);
         if (!asked || !filled) break;
         answered(s), filled_at[s] = now;
@@ -708,7 +749,9 @@
   std::vector<Average> fill_rate, held_share, serve_rate;
   std::vector<int> strikes;
   std::vector<Seconds> out_since, next_trial, back_off, heard_at, filled_at;
-  std::vector<double> work_out;
+  std::vector<double> work_out, room;
+  std::vector<int> out_here, out_from;
+  std::vector<Seconds> cut_at;
   std::vector<std::vector<std::pair<Seconds, double>>> ledger;
 
   std::map<PullId, Pull> pulls;
@@ -828,6 +871,7 @@
     HandOff& off = p.offs[place];
     off.out = false;
     m.work_out[off.node] -= m.send_time(p);
+    --m.out_here[off.node], --m.out_from[off.source];
     const bool never_ran = result == Result::kTurnedAway || result == Result::kUnreachable ||
                            result == Result::kNotSent || result == Result::kAbsent;
     p.may_have_run = p.may_have_run || !never_ran;
