Limit fills in hand at each parent, and ask the origin only when no parent is kept

Cause: refused fills went on to every other parent, straight past the caches and to the origin, which then answered nobody; the collapse outlived its trouble. Also holds against any slow or lost source; it can hurt where one parent's slowness is in truth the location's own link, whose other fills it then holds back.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -116,6 +116,7 @@
   double size_kb = 0;
   bool write = false, hot = false, known = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
+  bool looked = false, no_origin = false;
   int first_node = kNobody, pauses = 0;
   std::vector<HandOff> offs;
   std::vector<int> bad_nodes, bad_sources;
@@ -212,7 +213,8 @@
       fill_rate.emplace_back(), held_share.emplace_back(), serve_rate.emplace_back();
       strikes.push_back(0), back_off.push_back(0), ledger.emplace_back();
       work_out.push_back(0), room.push_back(0), out_here.push_back(0), out_from.push_back(0);
-      for (auto* times : {&out_since, &next_trial, &heard_at, &filled_at, &cut_at}) times->push_back(kLongAgo);
+      for (auto* times : {&out_since, &next_trial, &heard_at, &filled_at, &cut_at})
+        times->push_back(kLongAgo);
     }
     return found->second;
   }
@@ -439,7 +441,12 @@
   }
 
   bool can_give(const Pull& p, int n) {
-    return running[n] && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
+    return running[n] && !p.no_origin && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
+  }
+  // Most pulls that name a source never need it: of those out, the usual part counts.
+  bool source_room(int n) {
+    if (room[n] <= 0) room[n] = first_room(n);
+    return out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n];
   }
 
   // The design's companion: a spread object is filled from the other cache of the hash's top two.
@@ -461,11 +468,21 @@
   int choose_parent(const Pull& p, int& trial) {
     for (const int n : by_hash(mix(p.object), true)) {
       if (!can_give(p, n)) continue;
-      if (!is_out(n) && kept(n)) return n;
+      if (!is_out(n) && kept(n)) {
+        if (source_room(n)) return n;
+        continue;
+      }
       if (trial == kNobody && trial_due(p, n)) return trial = n;
     }
     return kNobody;
   }
+  // The origin is asked only when no parent is kept. One that is kept but crowded, or that has just refused,
+  // does not count: the crowd would only move on to the origin, which all parents need.
+  bool any_parent_kept(const Pull& p) {
+    for (int n = 0; n < count(); ++n)
+      if (is_parent(n) && running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p))) return true;
+    return false;
+  }
   Way parent_way(const Pull& p) {
     Way way = choose_cache(p);
     if (!way) return {};
@@ -478,13 +495,17 @@
     return kNobody;
   }
   Way origin_way(const Pull& p) {
-    Way way = choose_cache(p);
+    Way way = any_parent_kept(p) ? Way() : choose_cache(p);
     way.source = choose_origin(p);
     return way;
   }
-  // Past the caches, where the site lets us: only when none of them can take the pull.
+  // While no source can take a fill, what the home holds can still be had.
+  Way held_way(const Pull& p) { return p.looked ? Way() : choose_cache(p); }
+  // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
   Way straight_way(const Pull& p) {
     if (!allowed("FamilyInfo.Direct")) return {};
+    for (int n = 0; n < count(); ++n)
+      if (is_cache(n) && running[n] && !is_out(n) && has_budget(n, mean_send(p))) return {};
     Way way;
     way.node = choose_parent(p, way.trial);
     if (way.node == kNobody) way.node = choose_origin(p);
@@ -498,8 +519,9 @@
     const int origin = choose_origin(p);
     if (origin != kNobody && allowed("FamilyInfo.Direct") && may_go_to(p, origin))
       return {origin, origin, kNobody};
-    const Way by_origin = origin_way(p);
-    return by_origin ? by_origin : parent_way(p);
+    Way way = choose_cache(p);
+    way.source = origin;
+    return way ? way : parent_way(p);
   }
   // A copy past its fresh time, where the grade allows one and all else has failed.
   Way stale_way(const Pull& p) {
@@ -590,6 +612,12 @@
   void take_parent_way(Pull& p) { hand_off(p, parent_way(p)); }
   bool has_origin_way(const Pull& p) { return fills(p) && origin_way(p); }
   void take_origin_way(Pull& p) { hand_off(p, origin_way(p)); }
+  bool has_held_way(const Pull& p) { return fills(p) && held_way(p); }
+  void take_held_way(Pull& p) {
+    const Way way = held_way(p);
+    p.looked = true;
+    hand_off(p, way);
+  }
   bool has_straight_way(const Pull& p) { return fills(p) && straight_way(p); }
   void take_straight_way(Pull& p) { hand_off(p, straight_way(p)); }
   bool has_stale_way(const Pull& p) { return fills(p) && stale_way(p); }
@@ -605,7 +633,7 @@
   }
   void pause(Pull& p) {
     ++p.pauses;
-    p.bad_nodes.clear(), p.bad_sources.clear();
+    p.bad_nodes.clear(), p.bad_sources.clear(), p.no_origin = false;
     p.resume_at = now + kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance);
     actions.wake(p.resume_at, {"resume:" + p.id.value});
   }
@@ -642,6 +670,7 @@
       case Result::kCompleted: {
         const bool filled = note == Note::kFilled || note == Note::kFilledByOrigin;
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
+        if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         if (measurable) serve_rate[c].add(now, p.size_kb, spent);
         if (measurable && !filled) measure_room(c, out_here[c] + 1, spent / send_time(p), off.sent);
@@ -649,6 +678,7 @@
         if (!asked || !filled) break;
         answered(s), filled_at[s] = now;
         if (measurable) {
+          measure_room(s, (out_from[s] + 1) * misses.mean(), spent / send_time(p), off.sent);
           fill_rate[s].add(now, p.size_kb, spent);
           if (note == Note::kFilledByOrigin && is_parent(s)) origin_rate.add(now, p.size_kb, spent);
           if (is_origin(s)) origin_rate.add(now, p.size_kb, spent);
@@ -667,6 +697,9 @@
       case Result::kError:
         if (asked && (lost || note == Note::kSourceRefused || note == Note::kOriginFailed)) {
           p.bad_sources.push_back(s);
+          // What failed behind one parent fails behind the next, and the next try only adds to it.
+          if (note == Note::kOriginFailed) p.no_origin = true;
+          measure_room(s, 0, kCrowd * 2, off.sent);
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
         } else if (result == Result::kTurnedAway) {
           p.bad_nodes.push_back(c);
@@ -737,7 +770,7 @@
   int here = 0, parent_kind = -1, origin_kind = -1;
   double flow = 0;
   ListScope scope = ListScope::kCached;
-  Average pace, origin_rate;
+  Average pace, origin_rate, misses;
 
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
@@ -770,6 +803,7 @@
     {"spread: one of the top two, filled from the other", &Mind::has_spread_way, &Mind::take_spread_way},
     {"ordinary: home, filled from the first kept parent", &Mind::has_parent_way, &Mind::take_parent_way},
     {"no parent kept: home, filled from the origin", &Mind::has_origin_way, &Mind::take_origin_way},
+    {"no source can take it: home, what it holds", &Mind::has_held_way, &Mind::take_held_way},
     {"no cache can take it: straight to a parent", &Mind::has_straight_way, &Mind::take_straight_way},
     {"nothing fresh to be had: a stale copy", &Mind::has_stale_way, &Mind::take_stale_way},
     {"late, and nobody else to ask: wait on", &Mind::is_late_alone, &Mind::wait_on},
