--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -44,7 +44,8 @@
 constexpr double kUnknownLink = 2.0;   // transfers: a link's size where no weight tells it, judged low
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
-constexpr double kCrowd = 2.0;         // x its undisturbed time: what a pull at a crowded node may take
+constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
+constexpr double kTight = 0.7;         // of the contract time: a hand-off that takes longer shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
 constexpr double kGrow = 0.1;         // transfers: more room after one that did not, at a node near its limit
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
@@ -301,9 +302,9 @@
   }
 
   // --- load: guards against a crowd that makes everybody late
-  // ------------------------------------------------ How many of our transfers a node may hold at once, so
-  // that each ends within kCrowd times its undisturbed time. It starts from the listed weight and follows
-  // what is measured, whatever slows the node down.
+  // ------------------------------------------------ // How many of our transfers a node may hold at once, so
+  // that each ends well within its contract time. It starts from the listed weight and follows what is
+  // measured, whatever slows the node down.
   double first_room(int n) const {
     const std::string meaning = text("Weights", "none");
     const double full = meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
@@ -318,9 +319,9 @@
     if (room[n] <= 0) room[n] = first_room(n);
     return out_here[n] < room[n] * (send_time(p) < kMeasurable ? kSmallExtra : 1);
   }
-  void measure_room(int n, double in_use, double slowness, Seconds sent) {
+  void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (room[n] <= 0) room[n] = first_room(n);
-    if (slowness > kCrowd) {
+    if (crowded) {
       if (sent <= cut_at[n]) return;  // it was out already when the room was last cut
       cut_at[n] = now;
       room[n] = std::max(1.0, kCut * room[n]);
@@ -673,12 +674,13 @@
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         if (measurable) serve_rate[c].add(now, p.size_kb, spent);
-        if (measurable && !filled) measure_room(c, out_here[c] + 1, spent / send_time(p), off.sent);
+        if (measurable && !filled)
+          measure_room(c, out_here[c] + 1, spent > kTight * contract_time(p), off.sent);
         if (asked && !filled) settle(s, off.source_charge);
         if (!asked || !filled) break;
         answered(s), filled_at[s] = now;
         if (measurable) {
-          measure_room(s, (out_from[s] + 1) * misses.mean(), spent / send_time(p), off.sent);
+          measure_room(s, (out_from[s] + 1) * misses.mean(), spent > kTight * contract_time(p), off.sent);
           fill_rate[s].add(now, p.size_kb, spent);
           if (note == Note::kFilledByOrigin && is_parent(s)) origin_rate.add(now, p.size_kb, spent);
           if (is_origin(s)) origin_rate.add(now, p.size_kb, spent);
@@ -699,7 +701,7 @@
           p.bad_sources.push_back(s);
           // What failed behind one parent fails behind the next, and the next try only adds to it.
           if (note == Note::kOriginFailed) p.no_origin = true;
-          measure_room(s, 0, kCrowd * 2, off.sent);
+          measure_room(s, 0, true, off.sent);
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
         } else if (result == Result::kTurnedAway) {
           p.bad_nodes.push_back(c);
