--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -47,7 +47,9 @@
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
 constexpr double kTight = 0.7;         // of the contract time: a hand-off that takes longer shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;         // transfers: more room after one that did not, at a node near its limit
+constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
+constexpr double kGrowFirst =
+    0.5;  // transfers: the same until its first crowd, for links that nothing tells of
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
 constexpr double kSmallExtra = 1.5;   // x room for pulls too short to measure: much utility, little work
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
@@ -326,7 +328,7 @@
       cut_at[n] = now;
       room[n] = std::max(1.0, kCut * room[n]);
     } else if (in_use >= kNearLimit * room[n]) {
-      room[n] += kGrow;
+      room[n] += cut_at[n] == kLongAgo ? kGrowFirst : kGrow;
     }
   }
 
@@ -492,7 +494,7 @@
   }
   int choose_origin(const Pull& p) {
     for (int n = 0; n < count(); ++n)
-      if (is_origin(n) && !is_out(n) && can_give(p, n)) return n;
+      if (is_origin(n) && !is_out(n) && can_give(p, n) && (is_write(p) || source_room(n))) return n;
     return kNobody;
   }
   Way origin_way(const Pull& p) {
