--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -78,6 +78,17 @@
   double mean() const { return sum / weight; }
 };
 
+// Bytes a second over about kSpan.
+struct Throughput {
+  double sum = 0;
+  Seconds last = 0;
+  double at(Seconds now) const { return sum * std::exp((last - now) / kSpan) / kSpan; }
+  void add(Seconds now, double bytes) {
+    sum = at(now) * kSpan + bytes;
+    last = now;
+  }
+};
+
 std::uint64_t mix(std::uint64_t x) {
   x += 0x9e3779b97f4a7c15u;
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
@@ -355,7 +366,8 @@
   void started(int n, Seconds at) {
     if (at <= launched[n]) return;
     launched[n] = at;
-    fill_rate[n] = held_share[n] = serve_rate[n] = Average();
+    fill_rate[n] = held_share[n] = Average();
+    serve_rate[n] = Throughput();
   }
 
   // --- figures of a pull
@@ -388,9 +400,10 @@
   bool is_hot(const Pull& p, double bytes) {
     const std::vector<int> order = by_hash(p.unit, false);
     if (order.empty()) return false;
-    const Average peers = pooled(serve_rate, false);
-    const Average& home = serve_rate[order[0]];
-    const double rate = home.heard() ? home.mean() : peers.heard() ? peers.mean() : flow;
+    double sum = 0, caches = 0;
+    for (int n = 0; n < count(); ++n)
+      if (is_cache(n) && serve_rate[n].at(now) > 0) sum += serve_rate[n].at(now), ++caches;
+    const double home = serve_rate[order[0]].at(now), rate = home > 0 ? home : caches > 0 ? sum / caches : 0;
     return rate > 0 && bytes / kHotSpan > kHotShare * rate;
   }
 
@@ -675,7 +688,7 @@
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
-        if (measurable) serve_rate[c].add(now, p.size_kb, spent);
+        serve_rate[c].add(now, p.size_kb);
         if (measurable && !filled)
           measure_room(c, out_here[c] + 1, spent > kTight * contract_time(p), off.sent);
         if (asked && !filled) settle(s, off.source_charge);
@@ -783,7 +796,8 @@
   std::vector<char> running, listed, fresh;
   std::vector<double> weight;
   std::vector<Seconds> launched;
-  std::vector<Average> fill_rate, held_share, serve_rate;
+  std::vector<Average> fill_rate, held_share;
+  std::vector<Throughput> serve_rate;
   std::vector<int> strikes;
   std::vector<Seconds> out_since, next_trial, back_off, heard_at, filled_at;
   std::vector<double> work_out, room;
