--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -45,7 +45,7 @@
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
-constexpr double kTight = 0.7;         // of the contract time: a hand-off that takes longer shows a crowd
+constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
 constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
 constexpr double kGrowFirst =
@@ -686,16 +686,17 @@
       case Result::kCompleted: {
         const bool filled = note == Note::kFilled || note == Note::kFilledByOrigin;
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
+        const Seconds slack = contract_time(p) - send_time(p);
+        const bool crowded = spent - send_time(p) > kTight * slack;
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         serve_rate[c].add(now, p.size_kb);
-        if (measurable && !filled)
-          measure_room(c, out_here[c] + 1, spent > kTight * contract_time(p), off.sent);
+        if (measurable && !filled) measure_room(c, out_here[c] + 1, crowded, off.sent);
         if (asked && !filled) settle(s, off.source_charge);
         if (!asked || !filled) break;
         answered(s), filled_at[s] = now;
         if (measurable) {
-          measure_room(s, (out_from[s] + 1) * misses.mean(), spent > kTight * contract_time(p), off.sent);
+          measure_room(s, (out_from[s] + 1) * misses.mean(), crowded, off.sent);
           fill_rate[s].add(now, p.size_kb, spent);
           if (note == Note::kFilledByOrigin && is_parent(s)) origin_rate.add(now, p.size_kb, spent);
           if (is_origin(s)) origin_rate.add(now, p.size_kb, spent);
