--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -492,11 +492,14 @@
     }
     return kNobody;
   }
-  // The origin is asked only when no parent is kept. One that is kept but crowded, or that has just refused,
-  // does not count: the crowd would only move on to the origin, which all parents need.
-  bool any_parent_kept(const Pull& p) {
+  // // The origin is asked only when no parent is kept. Departure: one that is kept but at its limit counts
+  // as not kept for this pull. One that has just refused it does: the refusal would only move on to the
+  // origin.
+  bool any_parent_left(const Pull& p) {
     for (int n = 0; n < count(); ++n)
-      if (is_parent(n) && running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p))) return true;
+      if (is_parent(n) && running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p)) &&
+          source_room(n))
+        return true;
     return false;
   }
   Way parent_way(const Pull& p) {
@@ -511,7 +514,7 @@
     return kNobody;
   }
   Way origin_way(const Pull& p) {
-    Way way = any_parent_kept(p) ? Way() : choose_cache(p);
+    Way way = any_parent_left(p) ? Way() : choose_cache(p);
     way.source = choose_origin(p);
     return way;
   }
