--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -47,6 +47,7 @@
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
+constexpr std::size_t kSiblingTries = 2;  // sources that failed a pull before no further sibling is asked
 constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
 constexpr double kGrowFirst =
     0.5;  // transfers: the same until its first crowd, for links that nothing tells of
@@ -233,15 +234,20 @@
     return found->second;
   }
 
+  enum class Members { kParents, kOwnCaches, kAllCaches };
+  bool is_among(Members members, int n) const {
+    if (members == Members::kParents) return is_parent(n);
+    return is_cache_kind(n) && (members == Members::kAllCaches || zone[n] == here);
+  }
   // Sizes that drift with load would move every home; there all count alike.
   double hash_weight(int n) const {
     return text("Weights", "none") == "live" ? 1 : std::max(weight[n], 1e-3);
   }
 
-  std::vector<int> by_hash(std::uint64_t key, bool parents) const {
+  std::vector<int> by_hash(std::uint64_t key, Members members) const {
     std::vector<std::pair<double, int>> scored;
     for (int n = 0; n < count(); ++n) {
-      if (!listed[n] || !(parents ? is_parent(n) : is_cache(n))) continue;
+      if (!listed[n] || !is_among(members, n)) continue;
       const double draw = (static_cast<double>(mix(key ^ hash[n]) >> 11) + 0.5) / 9007199254740992.0;
       scored.emplace_back(-std::log(draw) / hash_weight(n), n);
     }
@@ -255,7 +261,7 @@
   Average pooled(const std::vector<Average>& figures, bool parents) const {
     Average pool;
     for (int n = 0; n < count(); ++n) {
-      if (!figures[n].heard() || (parents ? !is_parent(n) : !is_cache(n))) continue;
+      if (!figures[n].heard() || parents != is_parent(n) || is_origin(n)) continue;
       pool.add(0, figures[n].mean(), 1);
     }
     return pool;
@@ -398,7 +404,7 @@
 
   // The design's spread: what passes a quarter of its home's rate. An unheard home counts as average.
   bool is_hot(const Pull& p, double bytes) {
-    const std::vector<int> order = by_hash(p.unit, false);
+    const std::vector<int> order = by_hash(p.unit, Members::kOwnCaches);
     if (order.empty()) return false;
     double sum = 0, caches = 0;
     for (int n = 0; n < count(); ++n)
@@ -439,7 +445,7 @@
     const double work = mean_send(p);
     std::vector<int> top;
     int asked = 0;
-    for (const int n : by_hash(p.unit, false)) {
+    for (const int n : by_hash(p.unit, Members::kOwnCaches)) {
       if (asked == kTop) break;
       if (!running[n] || holds(p.bad_nodes, n) || !may_go_to(p, n) || !has_budget(n, work)) continue;
       if (is_out(n)) {
@@ -470,7 +476,7 @@
     if (!p.hot || text("FamilyInfo.PeersFill", "none") == "none") return {};
     const Way way = choose_cache(p);
     if (!way || way.trial != kNobody) return {};
-    const std::vector<int> order = by_hash(p.unit, false);
+    const std::vector<int> order = by_hash(p.unit, Members::kOwnCaches);
     for (std::size_t i = 0; i < std::min<std::size_t>(2, order.size()); ++i) {
       const int n = order[i];
       if (n == way.node || !can_give(p, n) || is_out(n)) continue;
@@ -482,7 +488,7 @@
 
   // All other fills, and retries after a sibling miss: the object's first kept parent by the hash.
   int choose_parent(const Pull& p, int& trial) {
-    for (const int n : by_hash(mix(p.object), true)) {
+    for (const int n : by_hash(mix(p.object), Members::kParents)) {
       if (!can_give(p, n)) continue;
       if (!is_out(n) && kept(n)) {
         if (source_room(n)) return n;
@@ -492,14 +498,11 @@
     }
     return kNobody;
   }
-  // // The origin is asked only when no parent is kept. Departure: one that is kept but at its limit counts
-  // as not kept for this pull. One that has just refused it does: the refusal would only move on to the
-  // origin.
-  bool any_parent_left(const Pull& p) {
+  // The origin is asked only when no parent is kept. One that is kept but crowded, or that has just refused,
+  // does not count: the crowd would only move on to the origin, which all parents need.
+  bool any_parent_kept(const Pull& p) {
     for (int n = 0; n < count(); ++n)
-      if (is_parent(n) && running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p)) &&
-          source_room(n))
-        return true;
+      if (is_parent(n) && running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p))) return true;
     return false;
   }
   Way parent_way(const Pull& p) {
@@ -514,10 +517,36 @@
     return kNobody;
   }
   Way origin_way(const Pull& p) {
-    Way way = any_parent_left(p) ? Way() : choose_cache(p);
+    Way way = any_parent_kept(p) ? Way() : choose_cache(p);
     way.source = choose_origin(p);
     return way;
   }
+  // Departure: while parents are kept but none has room, and no other way is open, a sibling that is home to
+  // the same unit in its own location may fill. The nearest kept one is asked, once or twice; a miss costs
+  // little.
+  Way sibling_way(const Pull& p) {
+    const std::string reach = text("FamilyInfo.PeersFill", "none");
+    if (reach == "none" || p.bad_sources.size() >= kSiblingTries) return {};
+    Way way = choose_cache(p);
+    if (!way || way.trial != kNobody) return {};
+    double best = 0;
+    std::set<int> zones_seen;
+    way.source = kNobody;
+    for (const int n : by_hash(p.unit, Members::kAllCaches)) {
+      if (n == way.node || (zone[n] != here && (reach != "any" || cold(n)))) continue;
+      if (!zones_seen.insert(zone[n]).second) continue;  // only the first of each location may well hold it
+      if (is_out(n) || !can_give(p, n) || !source_room(n) || !kept(n)) continue;
+      const double distance = hubs_away(zone[n]);
+      if (way.source == kNobody || distance < best) way.source = n, best = distance;
+    }
+    return way;
+  }
+  double hubs_away(int there) const {
+    if (there == here) return -1;
+    const int from = std::atoi(item("FamilyInfo.HubByZone", here, "0").c_str());
+    const int to = std::atoi(item("FamilyInfo.HubByZone", there, "0").c_str());
+    return std::abs(from - to);
+  }
   // While no source can take a fill, what the home holds can still be had.
   Way held_way(const Pull& p) { return p.looked ? Way() : choose_cache(p); }
   // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
@@ -631,6 +660,8 @@
   void take_parent_way(Pull& p) { hand_off(p, parent_way(p)); }
   bool has_origin_way(const Pull& p) { return fills(p) && origin_way(p); }
   void take_origin_way(Pull& p) { hand_off(p, origin_way(p)); }
+  bool has_sibling_way(const Pull& p) { return fills(p) && sibling_way(p); }
+  void take_sibling_way(Pull& p) { hand_off(p, sibling_way(p)); }
   bool has_held_way(const Pull& p) { return fills(p) && held_way(p); }
   void take_held_way(Pull& p) {
     const Way way = held_way(p);
@@ -825,6 +856,8 @@
     {"spread: one of the top two, filled from the other", &Mind::has_spread_way, &Mind::take_spread_way},
     {"ordinary: home, filled from the first kept parent", &Mind::has_parent_way, &Mind::take_parent_way},
     {"no parent kept: home, filled from the origin", &Mind::has_origin_way, &Mind::take_origin_way},
+    {"no parent has room: home, filled from a sibling that may hold it", &Mind::has_sibling_way,
+     &Mind::take_sibling_way},
     {"no source can take it: home, what it holds", &Mind::has_held_way, &Mind::take_held_way},
     {"no cache can take it: straight to a parent", &Mind::has_straight_way, &Mind::take_straight_way},
     {"nothing fresh to be had: a stale copy", &Mind::has_stale_way, &Mind::take_stale_way},
