--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -43,6 +43,7 @@
 constexpr double kBudgetPart = 0.5;    // of the told limit: true capacity lies below the listed weight
 constexpr double kUnknownLink = 2.0;   // transfers: a link's size where no weight tells it, judged low
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
+constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
@@ -51,7 +52,7 @@
     0.5;  // transfers: the same until its first crowd, for links that nothing tells of
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
 constexpr double kSmallExtra = 1.5;   // x room for pulls too short to measure: much utility, little work
-constexpr Seconds kPause = 0.05;      // s: before asking again where all turned a pull away
+constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
 constexpr Seconds kComeBack = 1.0;    // s: advice to a bounced client, drawn from half of it upwards
 constexpr Seconds kListAgain = 1.0;   // s: before following the list anew after a failure
 constexpr Seconds kRemember = 30.0;   // s: how long an object counts as asked for before
@@ -130,7 +131,7 @@
   bool write = false, hot = false, known = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
   bool looked = false, no_origin = false;
-  int first_node = kNobody;
+  int first_node = kNobody, pauses = 0;
   std::vector<HandOff> offs;
   std::vector<int> bad_nodes, bad_sources;
   int out() const {
@@ -642,13 +643,12 @@
     hand_off(p, way);
   }
 
-  // Where nobody has room or will take it, a pull waits for a turn as long as it can still make its contract
-  // time; after that it is given up at once, so that its client may ask elsewhere.
+  // Where others only turned the pull away, they are asked once more after a moment.
   bool may_pause(const Pull& p) {
-    const Seconds ready_at = now + kPause + expected(p);
-    return idle(p) && ready_at <= p.arrived + contract_time(p) && ready_at < p.hard_stop;
+    return idle(p) && !p.offs.empty() && p.pauses < kPauses && p.hard_stop - now > kPause + expected(p);
   }
   void pause(Pull& p) {
+    ++p.pauses;
     p.bad_nodes.clear(), p.bad_sources.clear(), p.no_origin = false;
     p.resume_at = now + kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance);
     actions.wake(p.resume_at, {"resume:" + p.id.value});
