--- /dev/null
+++ b/tests/helpers.hpp
@@ -0,0 +1,161 @@
+// What the tests share: a director whose decisions are written down in plain words, and the kept traces.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "policy.hpp"
+
+namespace hareramp {
+
+// Compares with tests/traces/NAME.txt. With HARERAMP_KEEP set the trace is written instead, for people to
+// read.
+inline void check_trace(const std::string& name, const std::string& trace) {
+  const std::string path = std::string(HARERAMP_TRACES) + "/" + name + ".txt";
+  if (std::getenv("HARERAMP_KEEP")) std::ofstream(path) << trace;
+  std::ifstream file(path);
+  REQUIRE_MESSAGE(file.good(), "no kept trace " << path);
+  std::stringstream kept;
+  kept << file.rdbuf();
+  CHECK_MESSAGE(kept.str() == trace, name << ": decided\n" << trace << "kept\n" << kept.str());
+}
+
+// A director in a small world: caches c1 to c4 in zone 2 (c4's cell differs), r1 in zone 3, parents P1 to P3
+// in zones 0 and 1, one origin O. A transfer runs at 1000 KB/s.
+class Rig : public Actions {
+ public:
+  Rig(const Rig&) = delete;
+  Rig() : Rig(Settings()) {}
+  explicit Rig(const Settings& changes) {
+    Settings settings = {{"Balancers", "2"},
+                         {"Contract.ColdS", "10"},
+                         {"Contract.FallMultiple", "2"},
+                         {"Contract.FallS", "2"},
+                         {"Contract.StartCapacity", "0.2"},
+                         {"FamilyInfo.GoodForS", "0,8,0,0"},
+                         {"FamilyInfo.GoesThrough", "false,false,true,false"},
+                         {"FamilyInfo.HubByZone", "0,1,0,1"},
+                         {"FamilyInfo.OriginKind", "2"},
+                         {"FamilyInfo.ParentColdFrom", "0.1"},
+                         {"FamilyInfo.ParentLimitFactor", "2"},
+                         {"FamilyInfo.ParentWarmsInS", "20"},
+                         {"FamilyInfo.PeersFill", "location"},
+                         {"FamilyInfo.PurgeDoneS", "6"},
+                         {"FamilyInfo.SeatsByZone", "0,0,1,1"},
+                         {"FamilyInfo.ShieldKind", "1"},
+                         {"FamilyInfo.StreamKbPerS", "1000"},
+                         {"FamilyInfo.Tells", "all"},
+                         {"Locality", "2"},
+                         {"Permissions.Cancel", "true"},
+                         {"Permissions.MaxAttempts", "6"},
+                         {"Permissions.MaxRetryAfterS", "2"},
+                         {"Permissions.RetryAfter", "true"},
+                         {"Permissions.SecondCopies", "true"},
+                         {"RequestClasses.count", "4"},
+                         {"Weights", "nominal"}};
+    const char* effects[] = {"retryable", "retryable", "fragile", "dedup"};
+    for (int i = 0; i < 4; ++i) {
+      const std::string at = "RequestClasses." + std::to_string(i) + ".";
+      settings[at + "PromiseS"] = "0.5", settings[at + "AimStretch"] = "2", settings[at + "DeadlineS"] = "5";
+      settings[at + "Effect"] = effects[i], settings[at + "Group"] = "zone", settings[at + "WindowS"] = "2";
+    }
+    for (const auto& [name, value] : changes) settings[name] = value;
+    director = std::make_unique<Director>(now, settings, 7, *this);
+  }
+
+  // Lists nodes as "c1 c2 P1 O"; the state and start time are the same for all of them.
+  void list(ListScope scope, const std::string& names, Readiness readiness = Readiness::kRunning,
+            Seconds launched = 0) {
+    director->list_starts(now, scope);
+    std::istringstream words(names);
+    for (std::string name; words >> name;) {
+      const bool parent = name[0] == 'P', origin = name[0] == 'O';
+      const int zone = name == "P2" || origin ? 1 : parent ? 0 : name[0] == 'r' ? 3 : 2;
+      director->list_entry(now, {name}, {zone},
+                           {parent   ? 1
+                            : origin ? 2
+                                     : 0},
+                           {name == "c4" ? 2 : 1}, readiness,
+                           origin   ? 1
+                           : parent ? 20
+                                    : 6,
+                           launched);
+    }
+    director->list_ends(now);
+  }
+  void pull(const std::string& id, std::uint64_t object, int grade = 0, double size_kb = 400, int part = 0) {
+    director->pull_arrived(now, {id}, {grade}, {0}, {object}, {part}, {static_cast<std::int64_t>(object % 8)},
+                           now + 5, size_kb, false, grade == 2);
+  }
+  // The hand-off's end; its time is given, the clock moves by it.
+  void ends(const std::string& id, int number, Result result, Note note = Note::kNone, Seconds spent = 0.01,
+            bool over = false) {
+    now += spent;
+    director->hand_off_ended(now, {id}, {number}, {node_of[id][number]}, result, note, spent / 4, spent, {},
+                             over || result == Result::kCompleted);
+  }
+  void after(Seconds pause) { now += pause; }
+  // Wakes whatever is due by then, in order.
+  void run_until(Seconds then) {
+    while (!timers.empty() && timers.begin()->first <= then) {
+      const auto [at, token] = *timers.begin();
+      timers.erase(timers.begin());
+      now = std::max(now, at);
+      director->woken(now, token);
+    }
+    now = std::max(now, then);
+  }
+  std::string taken() { return std::exchange(trace, ""); }
+  void say(const std::string& words) { trace += "-- " + words + "\n"; }
+
+  void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override {
+    node_of[pull.value].push_back(node.value);
+    source_of[pull.value] = fill.source.value;
+    std::string line = pull.value + ": hand off to " + node.value;
+    line += fill.source == node ? ", no fill" : ", fill from " + fill.source.value;
+    line += ", rank " + std::to_string(fill.rank);
+    if (fill.oldest_copy > 0) line += ", at most " + text(fill.oldest_copy) + " s old";
+    if (fill.join) line += ", may join";
+    if (fill.renew) line += ", renew";
+    if (time_out > 0) line += ", time-out " + text(time_out) + " s";
+    note(line);
+  }
+  void cancel(const PullId& pull, HandOffNumber number) override {
+    note(pull.value + ": cancel hand-off " + std::to_string(number.value));
+  }
+  void bounce(const PullId& pull, Seconds come_back_in) override {
+    note(pull.value + ": bounce" + (come_back_in > 0 ? ", come back" : ""));
+  }
+  void forfeit(const PullId& pull) override { note(pull.value + ": forfeit"); }
+  void wake(Seconds at, const TimerToken& token) override { timers.emplace(at, token); }
+  void probe(const NodeId& node) override { note("probe " + node.value); }
+  void follow_list() override { note("follow the list"); }
+  void log(const std::string& words) override { note("log: " + words); }
+
+  static std::string text(double value) {
+    char buffer[32];
+    std::snprintf(buffer, sizeof buffer, "%.3f", value);
+    return buffer;
+  }
+
+  Seconds now = 100;
+  std::unique_ptr<Director> director;
+  std::map<std::string, std::vector<std::string>> node_of;
+  std::map<std::string, std::string> source_of;
+  std::multimap<Seconds, TimerToken> timers;
+  std::string trace;
+
+ private:
+  void note(const std::string& line) { trace += text(now) + " " + line + "\n"; }
+};
+
+}  // namespace hareramp
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,333 @@
+// Decisions as kept traces (tests/traces), one for each matter of the design, the five rules, and each
+// failure that was found on the bench.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "helpers.hpp"
+
+using namespace hareramp;
+
+namespace {
+const char* const kAll = "c1 c2 c3 P1 P2 P3 O";
+
+// Fills from each source as told: its rate in KB/s, and whether it held the object.
+void feed(Rig& rig, const std::map<std::string, std::pair<double, Note>>& sources, int pulls, int first) {
+  for (int i = 0; i < pulls; ++i) {
+    const std::string id = "feed" + std::to_string(first + i);
+    rig.pull(id, static_cast<std::uint64_t>(first + i));
+    const auto found = sources.find(rig.source_of[id]);
+    if (found == sources.end()) {
+      rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.4);
+    } else {
+      rig.ends(id, 0, Result::kCompleted, found->second.second, 400 / found->second.first);
+    }
+  }
+  rig.taken();
+}
+
+// Which sources the next pulls name, in one line.
+std::string sources_of_next(Rig& rig, int first, int pulls = 12) {
+  std::string line;
+  for (int i = 0; i < pulls; ++i) {
+    const std::string id = "see" + std::to_string(first + i);
+    rig.pull(id, static_cast<std::uint64_t>(first + i));
+    line += " " + rig.source_of[id];
+    rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.01);
+  }
+  rig.taken();
+  return line + "\n";
+}
+}  // namespace
+
+TEST_CASE("home and parent") {
+  Rig rig(Settings{{"FamilyInfo.CanJoin", "true"}});
+  rig.list(ListScope::kCached, kAll);
+  for (int object = 1; object <= 3; ++object) rig.pull("p" + std::to_string(object), object);
+  rig.say(
+      "the same object again has the same home and parent; a second part has its own home, not its own "
+      "parent");
+  rig.after(9);
+  rig.pull("p1-again", 1);
+  rig.pull("p1-part1", 1, 0, 400, 1);
+  rig.say("a grade with a fresh time: bounded, and renewed behind");
+  rig.pull("p4", 4, 1);
+  check_trace("home_and_parent", rig.taken());
+}
+
+TEST_CASE("three bands for a parent") {
+  std::string trace;
+  const auto see = [&](const std::string& what, double p1, Note note) {
+    Rig rig;
+    rig.list(ListScope::kCached, kAll);
+    // P2 and P3 set the origin's rate of 1000 by what they fetch, and hold a part of what they are asked for.
+    for (int round = 0; round < 4; ++round) {
+      feed(rig, {{"P1", {p1, note}}, {"P2", {1000, Note::kFilledByOrigin}}, {"P3", {1000, Note::kFilled}}},
+           12, 1000 + 50 * round);
+    }
+    trace += what + ":" + sources_of_next(rig, 1);
+  };
+  see("P1 under the low threshold, all held", 60, Note::kFilled);
+  see("P1 just over the low threshold, all held", 140, Note::kFilled);
+  see("P1 between the thresholds, nothing held", 500, Note::kFilledByOrigin);
+  see("P1 over the high threshold, all held", 1500, Note::kFilled);
+  Rig unheard;
+  unheard.list(ListScope::kCached, kAll);
+  feed(unheard, {{"P2", {1000, Note::kFilledByOrigin}}, {"P3", {1000, Note::kFilled}}}, 24, 1000);
+  trace += "P1 unheard:" + sources_of_next(unheard, 1);
+  check_trace("bands_parent", trace);
+}
+
+TEST_CASE("a share that falls for all drops nobody") {
+  Rig rig;
+  rig.list(ListScope::kCached, kAll);
+  feed(rig,
+       {{"P1", {900, Note::kFilledByOrigin}},
+        {"P2", {1000, Note::kFilledByOrigin}},
+        {"P3", {1000, Note::kFilledByOrigin}}},
+       40, 1000);
+  check_trace("shares_fall_together", "nothing held anywhere, P1 slowest:" + sources_of_next(rig, 1));
+}
+
+TEST_CASE("spread, sibling fill, and the parent after a sibling miss") {
+  Rig rig;
+  rig.list(ListScope::kCached, kAll);
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "hot" + std::to_string(i);
+    rig.pull(id, 5);
+    if (i < 3) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.1);
+  }
+  rig.say("the sibling lacks it: the object's parent");
+  rig.ends("hot3", 0, Result::kAbsent, Note::kSourceLacks);
+  rig.ends("hot3", 1, Result::kCompleted, Note::kFilled, 0.4);
+  check_trace("spread", rig.taken());
+}
+
+TEST_CASE("three bands for a sibling") {
+  std::string trace;
+  const auto see = [&](const std::string& what, double rate, int held_in_ten) {
+    Rig rig;
+    rig.list(ListScope::kCached, "c1 c2 P1 O");
+    feed(rig, {{"P1", {1000, Note::kFilled}}}, 10, 1000);
+    for (int i = 0; i < 30; ++i) {
+      const std::string id = "hot" + std::to_string(i);
+      rig.pull(id, 5);
+      if (rig.source_of[id][0] != 'c') {
+        rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.05);
+      } else if (i % 10 < held_in_ten) {
+        rig.ends(id, 0, Result::kCompleted, Note::kFilled, 400 / rate);
+      } else {
+        rig.ends(id, 0, Result::kAbsent, Note::kSourceLacks);
+        rig.ends(id, 1, Result::kCompleted, Note::kHit, 0.05);
+      }
+    }
+    rig.taken();
+    int asked = 0;
+    for (int i = 0; i < 6; ++i) {
+      const std::string id = "see" + std::to_string(i);
+      rig.pull(id, 5);
+      asked += rig.source_of[id][0] == 'c';
+      rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.05);
+    }
+    trace += what + ": named as source in " + std::to_string(asked) + " of 6\n";
+  };
+  see("under the low threshold, all held", 60, 10);
+  see("between the thresholds, most held", 500, 8);
+  see("over the high threshold, most held", 2000, 8);
+  check_trace("bands_sibling", trace);
+}
+
+TEST_CASE("a lost parent is left out, and comes back by a trial") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 c2 c3 P1 P2 O");
+  feed(rig, {{"P1", {1000, Note::kFilled}}, {"P2", {1000, Note::kFilled}}}, 10, 1000);
+  for (int i = 0, lost = 0; lost < 3; ++i) {
+    const std::string id = "p" + std::to_string(i);
+    rig.pull(id, i);
+    const bool gone = rig.source_of[id] == "P1";
+    rig.ends(id, 0, gone ? Result::kTurnedAway : Result::kCompleted, gone ? Note::kSourceLost : Note::kFilled,
+             0.3);
+    if (gone) rig.ends(id, 1, Result::kCompleted, Note::kFilled, 0.3), ++lost;
+  }
+  rig.say("a while later its trial goes well, and it has its pulls again");
+  rig.after(2);
+  for (int i = 40; i < 46; ++i) {
+    const std::string id = "p" + std::to_string(i);
+    rig.pull(id, i);
+    rig.ends(id, 0, Result::kCompleted, Note::kFilled, 0.3);
+  }
+  check_trace("lost_parent", rig.taken());
+}
+
+TEST_CASE("the origin only when no parent is kept") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 c2 P1 P2 O");
+  rig.pull("p1", 1);
+  rig.say("both parents refuse: they are still kept, the origin is not asked");
+  rig.ends("p1", 0, Result::kTurnedAway, Note::kSourceRefused);
+  rig.ends("p1", 1, Result::kTurnedAway, Note::kSourceRefused);
+  rig.ends("p1", 2, Result::kCompleted, Note::kHit);
+  rig.say("both are gone from the list");
+  rig.list(ListScope::kChanges, "P1 P2", Readiness::kGone);
+  rig.pull("p2", 1);
+  check_trace("origin_last", rig.taken());
+}
+
+TEST_CASE("what the origin failed behind one parent is not asked of the next") {
+  Rig rig;
+  rig.list(ListScope::kCached, kAll);
+  rig.pull("p1", 1);
+  rig.ends("p1", 0, Result::kTurnedAway, Note::kOriginFailed);
+  check_trace("origin_failed", rig.taken());
+}
+
+TEST_CASE("a crowded cache: the second by the hash, then a bounce at once") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 c2 P1 P2 P3 O");
+  for (int i = 0; i < 40; ++i) rig.pull("p" + std::to_string(i), i);
+  const std::string trace = rig.taken();
+  std::map<std::string, int> kinds;
+  for (const char* what : {"to c1", "to c2", "bounce"}) {
+    for (std::size_t at = 0; (at = trace.find(what, at)) != std::string::npos; ++at) ++kinds[what];
+  }
+  std::string counts;
+  for (const auto& [what, times] : kinds) counts += what + ": " + std::to_string(times) + "\n";
+  check_trace("crowd", counts);
+}
+
+TEST_CASE("rule 1: one final answer") {
+  Rig rig;
+  rig.say("nobody listed");
+  rig.pull("p1", 1);
+  rig.list(ListScope::kCached, kAll);
+  rig.say("a time-out at the hard stop");
+  rig.pull("p2", 2, 3);
+  rig.ends("p2", 0, Result::kTimedOut, Note::kNone, 5);
+  rig.say("dropped: only a cancel may follow, and what is heard later changes nothing");
+  rig.pull("p3", 3);
+  rig.director->pull_dropped(rig.now, {"p3"});
+  rig.ends("p3", 0, Result::kCancelled, Note::kNone, 0.01, true);
+  rig.director->woken(rig.now, {"late:0:p3"});
+  rig.director->woken(rig.now, {"resume:p3"});
+  rig.ends("p3", 0, Result::kCompleted);
+  rig.say("all turn it away: a pause, and its wake comes a hair too early");
+  rig.list(ListScope::kFull, "c1");
+  rig.pull("p4", 4);
+  rig.ends("p4", 0, Result::kTurnedAway);
+  rig.now = rig.timers.begin()->first;
+  for (const auto& [at, token] : std::multimap<Seconds, TimerToken>(rig.timers)) {
+    if (!token.value.starts_with("resume:p4")) continue;
+    rig.now = at - 1e-7;
+    rig.director->woken(rig.now, token);
+  }
+  check_trace("rule1_one_answer", rig.taken());
+}
+
+TEST_CASE("rule 2: no effect twice") {
+  Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
+  rig.list(ListScope::kCached, "c1 c2 c4 P1 P2 O");
+  rig.say("binding, turned away unseen: once more; broken: forfeit, nothing else");
+  rig.pull("b1", 1, 2);
+  rig.ends("b1", 0, Result::kTurnedAway);
+  rig.run_until(rig.now + 0.2);
+  rig.ends("b1", 1, Result::kBroken);
+  rig.say("retriable, broken: the next cache");
+  rig.pull("s1", 2);
+  rig.ends("s1", 0, Result::kBroken);
+  check_trace("rule2_binding", rig.taken());
+
+  Rig group(Settings{{"RequestClasses.3.Group", "cell"}});
+  group.list(ListScope::kCached, "c1 c2 c4 P1 O");
+  for (const int object : {1, 2, 3, 4}) {
+    const std::string id = "f" + std::to_string(object);
+    group.pull(id, object, 3);
+    group.ends(id, 0, Result::kError);
+    if (object == 4) group.say("past the window: no further hand-off"), group.after(3);
+    if (group.node_of[id].size() > 1) group.ends(id, 1, Result::kError);
+  }
+  check_trace("rule2_fingerprinted", group.taken());
+}
+
+TEST_CASE("rule 3: drains") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 c2 P1 P2 O");
+  for (int i = 1; i <= 4; ++i) rig.pull("p" + std::to_string(i), i);
+  rig.say("c1 and P1 drain");
+  rig.list(ListScope::kChanges, "c1 P1", Readiness::kDraining);
+  for (int i = 1; i <= 4; ++i) rig.pull("q" + std::to_string(i), i);
+  rig.say("a full list without c2");
+  rig.list(ListScope::kFull, "c1 P2 O");
+  rig.pull("r1", 1);
+  check_trace("rule3_drains", rig.taken());
+}
+
+TEST_CASE("rule 4: cold nodes") {
+  const auto most_in_two_seconds = [](const std::string& node, Rig& rig) {
+    double work = 0;
+    for (int i = 0; i < 60; ++i) {
+      const std::string id = "p" + std::to_string(i);
+      rig.pull(id, i);
+      for (std::size_t n = 0; n < rig.node_of[id].size(); ++n) {
+        const bool meant = rig.node_of[id][n] == node || rig.source_of[id] == node;
+        if (meant) work += 0.4;
+        rig.ends(id, static_cast<int>(n), Result::kCompleted, Note::kFilled, 0.02);
+      }
+    }
+    return "work sent to " + node + " in 1.2 s: " + Rig::text(work) + "\n";
+  };
+  Rig cache;
+  cache.list(ListScope::kCached, "c1 P1 O");
+  cache.list(ListScope::kChanges, "c1", Readiness::kRunning, 99.9);
+  Rig warm;
+  warm.list(ListScope::kCached, "c1 P1 O");
+  Rig parent;
+  parent.list(ListScope::kCached, "c1 c2 P1 O");
+  parent.list(ListScope::kChanges, "P1", Readiness::kRunning, 99.9);
+  check_trace("rule4_cold", "cold cache, " + most_in_two_seconds("c1", cache) + "warm cache, " +
+                                most_in_two_seconds("c1", warm) + "cold parent, " +
+                                most_in_two_seconds("P1", parent));
+}
+
+TEST_CASE("rule 5: purges") {
+  Rig rig;
+  rig.list(ListScope::kCached, kAll);
+  rig.director->object_purged(rig.now, {1}, 0.5);
+  rig.director->group_purged(rig.now, {2}, 0);
+  rig.pull("object", 1);
+  rig.pull("group", 2);
+  rig.pull("other", 3);
+  rig.after(1);
+  rig.pull("fresh-time", 10, 1);
+  rig.after(20);
+  rig.run_until(rig.now);
+  rig.pull("done", 1);
+  check_trace("rule5_purges", rig.taken());
+}
+
+TEST_CASE("a silent cache: a second copy elsewhere, and the loser is called off") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 c2 P1 O");
+  rig.pull("p1", 1);
+  rig.run_until(rig.now + 2);
+  rig.ends("p1", 1, Result::kCompleted, Note::kFilled, 0.4);
+  check_trace("silent_cache", rig.taken());
+}
+
+TEST_CASE("settings: no second copies, no parents, list by asking, nothing set") {
+  Rig single(Settings{{"Permissions.SecondCopies", "false"}});
+  single.list(ListScope::kCached, "c1 c2 P1 O");
+  single.pull("p1", 1);
+  single.run_until(single.now + 2);
+  single.ends("p1", 0, Result::kCancelled);
+  std::string trace = "no second copies\n" + single.taken();
+  Rig flat(
+      Settings{{"FamilyInfo.ShieldKind", "-1"}, {"FamilyInfo.PeersFill", "none"}, {"MembershipMode", "ask"}});
+  flat.list(ListScope::kFailed, "");
+  flat.run_until(flat.now + 1.5);
+  flat.list(ListScope::kFull, "c1 c2 O");
+  flat.pull("p1", 1);
+  trace += "no parents, list by asking\n" + flat.taken();
+  Rig bare;
+  bare.director = std::make_unique<Director>(bare.now, Settings{}, 1, bare);
+  bare.list(ListScope::kCached, "c1");
+  bare.pull("p1", 1);
+  trace += "no settings at all\n" + bare.taken();
+  check_trace("settings", trace);
+}
