Never call a unit hot for its first pull

Cause: a big object passed the design's quarter by one pull, was sent to whichever of two caches had less in hand and asked a sibling in vain: extra copies, lower hit shares. It could hurt only a first pull with many joins behind it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -886,7 +886,7 @@
     p.known = unit.at > kLongAgo;
     unit.bytes = unit.bytes * std::exp((unit.at - now) / kHotSpan) + size_kb;
     unit.at = now;
-    p.hot = m.is_hot(p, unit.bytes);
+    p.hot = p.known && m.is_hot(p, unit.bytes);  // one pull is no crowd, however big
   }
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
