--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -380,7 +380,9 @@
   double send_time(const Pull& p) { return flow > 0 && p.size_kb > 0 ? p.size_kb / flow : mean_send(p); }
   Seconds expected(const Pull& p) { return (send_time(p) + kSetup) * (pace.heard() ? pace.mean() : 1.5); }
   Seconds contract_time(const Pull& p) { return grade_of(p).contract + grade_of(p).stretch * send_time(p); }
-  bool time_for_another(const Pull& p) { return p.hard_stop - now > expected(p); }
+  // A further hand-off only if the time left exceeds what it is expected to take. The first is always made:
+  // after a slow spell nothing else would tell that things go faster again.
+  bool time_for_another(const Pull& p) { return p.offs.empty() || p.hard_stop - now > expected(p); }
   bool hand_offs_left(const Pull& p) const {
     return static_cast<double>(p.offs.size()) < number("Permissions.MaxAttempts", 1);
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -109,7 +109,7 @@
     for (int i = 0; i < 30; ++i) {
       const std::string id = "hot" + std::to_string(i);
       rig.pull(id, 5);
-      if (rig.source_of[id][0] != 'c') {
+      if (rig.source_of[id][0] == 'P') {
         rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.05);
       } else if (i % 10 < held_in_ten) {
         rig.ends(id, 0, Result::kCompleted, Note::kFilled, 400 / rate);
@@ -220,6 +220,18 @@
   check_trace("rule1_one_answer", rig.taken());
 }
 
+TEST_CASE("after a slow spell the first hand-off is still made") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 P1 O");
+  for (int i = 0; i < 3; ++i) {
+    rig.pull("p" + std::to_string(i), i);
+    rig.ends("p" + std::to_string(i), 0, Result::kCompleted, Note::kHit, 4.9);
+  }
+  rig.taken();
+  rig.pull("next", 9, 0, 4000);
+  check_trace("slow_spell", rig.taken());
+}
+
 TEST_CASE("rule 2: no effect twice") {
   Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
   rig.list(ListScope::kCached, "c1 c2 c4 P1 P2 O");
