--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -346,6 +346,7 @@
   // --- health: guards against nodes that are silent, broken or cut off
   // ---------------------------------------
   void strike(int n, int by) {
+    if (is_origin(n)) return;  // nobody could take its place, and nobody would try it again
     strikes[n] += by;
     if (is_out(n)) {
       back_off[n] = std::min(2 * back_off[n], kTrialEvery);
@@ -606,9 +607,13 @@
     actions.forfeit(p.id);
   }
 
-  // Rule 2: a binding pull that may have run gets no further hand-off, and no promise.
+  // Rule 2: a binding pull that may have run gets no further hand-off, and no promise; nor does a
+  // fingerprinted one whose mark may be forgotten by now.
   bool is_spent(const Pull& p) {
-    const bool stuck = p.may_have_run && grade_of(p).effect == Effect::kBinding;
+    const Grade& grade = grade_of(p);
+    const bool binding = grade.effect == Effect::kBinding;
+    const bool late_copy = grade.effect == Effect::kFingerprinted && now > p.first_ran + grade.window;
+    const bool stuck = p.may_have_run && (binding || late_copy);
     return idle(p) && (stuck || !hand_offs_left(p) || !time_for_another(p));
   }
   void give_up(Pull& p) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -6,12 +6,14 @@
 using namespace hareramp;
 
 namespace {
+std::string named(std::string kind, int number) { return kind += std::to_string(number); }
+
 const char* const kAll = "c1 c2 c3 P1 P2 P3 O";
 
 // Fills from each source as told: its rate in KB/s, and whether it held the object.
 void feed(Rig& rig, const std::map<std::string, std::pair<double, Note>>& sources, int pulls, int first) {
   for (int i = 0; i < pulls; ++i) {
-    const std::string id = "feed" + std::to_string(first + i);
+    const std::string id = named("feed", first + i);
     rig.pull(id, static_cast<std::uint64_t>(first + i));
     const auto found = sources.find(rig.source_of[id]);
     if (found == sources.end()) {
@@ -27,7 +29,7 @@
 std::string sources_of_next(Rig& rig, int first, int pulls = 12) {
   std::string line;
   for (int i = 0; i < pulls; ++i) {
-    const std::string id = "see" + std::to_string(first + i);
+    const std::string id = named("see", first + i);
     rig.pull(id, static_cast<std::uint64_t>(first + i));
     line += " " + rig.source_of[id];
     rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.01);
@@ -40,7 +42,7 @@
 TEST_CASE("home and parent") {
   Rig rig(Settings{{"FamilyInfo.CanJoin", "true"}});
   rig.list(ListScope::kCached, kAll);
-  for (int object = 1; object <= 3; ++object) rig.pull("p" + std::to_string(object), object);
+  for (int object = 1; object <= 3; ++object) rig.pull(named("p", object), object);
   rig.say(
       "the same object again has the same home and parent; a second part has its own home, not its own "
       "parent");
@@ -90,7 +92,7 @@
   Rig rig;
   rig.list(ListScope::kCached, kAll);
   for (int i = 0; i < 4; ++i) {
-    const std::string id = "hot" + std::to_string(i);
+    const std::string id = named("hot", i);
     rig.pull(id, 5);
     if (i < 3) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.1);
   }
@@ -107,7 +109,7 @@
     rig.list(ListScope::kCached, "c1 c2 P1 O");
     feed(rig, {{"P1", {1000, Note::kFilled}}}, 10, 1000);
     for (int i = 0; i < 30; ++i) {
-      const std::string id = "hot" + std::to_string(i);
+      const std::string id = named("hot", i);
       rig.pull(id, 5);
       if (rig.source_of[id][0] == 'P') {
         rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.05);
@@ -121,7 +123,7 @@
     rig.taken();
     int asked = 0;
     for (int i = 0; i < 6; ++i) {
-      const std::string id = "see" + std::to_string(i);
+      const std::string id = named("see", i);
       rig.pull(id, 5);
       asked += rig.source_of[id][0] == 'c';
       rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.05);
@@ -139,7 +141,7 @@
   rig.list(ListScope::kCached, "c1 c2 c3 P1 P2 O");
   feed(rig, {{"P1", {1000, Note::kFilled}}, {"P2", {1000, Note::kFilled}}}, 10, 1000);
   for (int i = 0, lost = 0; lost < 3; ++i) {
-    const std::string id = "p" + std::to_string(i);
+    const std::string id = named("p", i);
     rig.pull(id, i);
     const bool gone = rig.source_of[id] == "P1";
     rig.ends(id, 0, gone ? Result::kTurnedAway : Result::kCompleted, gone ? Note::kSourceLost : Note::kFilled,
@@ -149,7 +151,7 @@
   rig.say("a while later its trial goes well, and it has its pulls again");
   rig.after(2);
   for (int i = 40; i < 46; ++i) {
-    const std::string id = "p" + std::to_string(i);
+    const std::string id = named("p", i);
     rig.pull(id, i);
     rig.ends(id, 0, Result::kCompleted, Note::kFilled, 0.3);
   }
@@ -166,7 +168,7 @@
   rig.ends("p1", 2, Result::kCompleted, Note::kHit);
   rig.say("both are gone from the list");
   rig.list(ListScope::kChanges, "P1 P2", Readiness::kGone);
-  rig.pull("p2", 1);
+  rig.pull("p2", 2);
   check_trace("origin_last", rig.taken());
 }
 
@@ -181,7 +183,7 @@
 TEST_CASE("a crowded cache: the second by the hash, then a bounce at once") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 c2 P1 P2 P3 O");
-  for (int i = 0; i < 40; ++i) rig.pull("p" + std::to_string(i), i);
+  for (int i = 0; i < 40; ++i) rig.pull(named("p", i), i);
   const std::string trace = rig.taken();
   std::map<std::string, int> kinds;
   for (const char* what : {"to c1", "to c2", "bounce"}) {
@@ -208,7 +210,7 @@
   rig.director->woken(rig.now, {"resume:p3"});
   rig.ends("p3", 0, Result::kCompleted);
   rig.say("all turn it away: a pause, and its wake comes a hair too early");
-  rig.list(ListScope::kFull, "c1");
+  rig.list(ListScope::kFull, "c1 P1");
   rig.pull("p4", 4);
   rig.ends("p4", 0, Result::kTurnedAway);
   rig.now = rig.timers.begin()->first;
@@ -224,8 +226,8 @@
   Rig rig;
   rig.list(ListScope::kCached, "c1 P1 O");
   for (int i = 0; i < 3; ++i) {
-    rig.pull("p" + std::to_string(i), i);
-    rig.ends("p" + std::to_string(i), 0, Result::kCompleted, Note::kHit, 4.9);
+    rig.pull(named("p", i), i);
+    rig.ends(named("p", i), 0, Result::kCompleted, Note::kHit, 4.9);
   }
   rig.taken();
   rig.pull("next", 9, 0, 4000);
@@ -248,7 +250,7 @@
   Rig group(Settings{{"RequestClasses.3.Group", "cell"}});
   group.list(ListScope::kCached, "c1 c2 c4 P1 O");
   for (const int object : {1, 2, 3, 4}) {
-    const std::string id = "f" + std::to_string(object);
+    const std::string id = named("f", object);
     group.pull(id, object, 3);
     group.ends(id, 0, Result::kError);
     if (object == 4) group.say("past the window: no further hand-off"), group.after(3);
@@ -260,10 +262,10 @@
 TEST_CASE("rule 3: drains") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 c2 P1 P2 O");
-  for (int i = 1; i <= 4; ++i) rig.pull("p" + std::to_string(i), i);
+  for (int i = 1; i <= 4; ++i) rig.pull(named("p", i), i);
   rig.say("c1 and P1 drain");
   rig.list(ListScope::kChanges, "c1 P1", Readiness::kDraining);
-  for (int i = 1; i <= 4; ++i) rig.pull("q" + std::to_string(i), i);
+  for (int i = 1; i <= 4; ++i) rig.pull(named("q", i), i);
   rig.say("a full list without c2");
   rig.list(ListScope::kFull, "c1 P2 O");
   rig.pull("r1", 1);
@@ -274,7 +276,7 @@
   const auto most_in_two_seconds = [](const std::string& node, Rig& rig) {
     double work = 0;
     for (int i = 0; i < 60; ++i) {
-      const std::string id = "p" + std::to_string(i);
+      const std::string id = named("p", i);
       rig.pull(id, i);
       for (std::size_t n = 0; n < rig.node_of[id].size(); ++n) {
         const bool meant = rig.node_of[id][n] == node || rig.source_of[id] == node;
