--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -46,7 +46,7 @@
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
-constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
+constexpr double kCut = 0.8;           // x: a node's room after a pull that took longer than that
 constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
 constexpr double kGrowFirst =
     0.5;  // transfers: the same until its first crowd, for links that nothing tells of
@@ -757,7 +757,9 @@
       p.bad_nodes.push_back(off.node);
       return true;
     }
-    if (off.source == off.node || filled_at[off.source] >= off.sent) return false;
+    const bool asked = off.source != off.node;
+    measure_room(asked ? off.source : off.node, 0, true, off.sent);  // late is late, whoever is to blame
+    if (!asked || filled_at[off.source] >= off.sent) return false;
     strike(off.source, 1);
     p.bad_sources.push_back(off.source);
     return true;
