--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -45,10 +45,9 @@
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
-constexpr double kSpare = 1.5;  // x the root of our part: room for chance, as directors seldom peak together
-constexpr double kTight = 0.6;  // of the contract time's slack over bare sending: more shows a crowd
-constexpr double kCut = 0.9;    // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;   // transfers: more room after one that did not, at a node near its limit
+constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
+constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
+constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
 constexpr double kGrowFirst =
     0.5;  // transfers: the same until its first crowd, for links that nothing tells of
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
@@ -322,9 +321,7 @@
   double first_room(int n) const {
     const std::string meaning = text("Weights", "none");
     const double full = meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
-    // Few transfers each come unevenly: where directors share a node, each may go over its part now and then.
-    const double part = full / sharers(n), spare = sharers(n) > 1 ? kSpare * std::sqrt(part) : 0;
-    return std::max(1.0, kCrowd * part + spare);
+    return std::max(1.0, kCrowd * full / sharers(n));
   }
   double sharers(int n) const {
     const double all = number("Balancers", 4);
