--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -40,7 +40,7 @@
 constexpr Seconds kLongOut = 3.0;      // s: after a longer absence a node may have restarted unseen
 constexpr Seconds kSetup = 0.05;       // s: a hand-off's fixed part when times are put in proportion
 constexpr double kOverdue = 1.5;       // x expected time: a member on trial gets no more than this
-constexpr double kBudgetPart = 0.5;    // of the told limit: true capacity lies below the listed weight
+constexpr double kBudgetPart = 0.8;    // of the told limit: true capacity lies below the listed weight
 constexpr double kUnknownLink = 2.0;   // transfers: a link's size where no weight tells it, judged low
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
@@ -285,14 +285,19 @@
   }
   bool cold(int n) const { return !is_origin(n) && now - launched[n] < warms_in(n); }
 
-  double present_capacity(int n) const {
+  // In transfers at full pace, where the list tells it.
+  double full_capacity(int n) const {
     const std::string meaning = text("Weights", "none");
-    const double full = meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
+    return meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
+  }
+  double present_capacity(int n) const {
+    const double full = full_capacity(n);
     const double from =
         is_parent(n) ? number("FamilyInfo.ParentColdFrom", 0.05) : number("Contract.StartCapacity", 0.1);
     const double warmed = std::clamp((now - launched[n]) / warms_in(n), 0.0, 1.0);
     return full * (from + (1 - from) * warmed);
   }
+  double warmth(int n) const { return cold(n) ? present_capacity(n) / full_capacity(n) : 1; }
 
   // All directors of a location share its caches, all directors together share the parents. Equal parts are
   // safe without a word between them; it costs speed where one director has most of the traffic.
@@ -318,11 +323,7 @@
   // ------------------------------------------------ // How many of our transfers a node may hold at once, so
   // that each ends well within its contract time. It starts from the listed weight and follows what is
   // measured, whatever slows the node down.
-  double first_room(int n) const {
-    const std::string meaning = text("Weights", "none");
-    const double full = meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
-    return std::max(1.0, kCrowd * full / sharers(n));
-  }
+  double first_room(int n) const { return std::max(1.0, kCrowd * full_capacity(n) / sharers(n)); }
   double sharers(int n) const {
     const double all = number("Balancers", 4);
     return is_cache_kind(n) ? std::max(1.0, std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str()))
@@ -330,7 +331,7 @@
   }
   bool has_room(const Pull& p, int n) {
     if (room[n] <= 0) room[n] = first_room(n);
-    return out_here[n] < room[n] * (send_time(p) < kMeasurable ? kSmallExtra : 1);
+    return out_here[n] < std::max(1.0, warmth(n) * room[n]) * (send_time(p) < kMeasurable ? kSmallExtra : 1);
   }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (room[n] <= 0) room[n] = first_room(n);
@@ -465,7 +466,7 @@
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(int n) {
     if (room[n] <= 0) room[n] = first_room(n);
-    return out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n];
+    return out_from[n] * (misses.heard() ? misses.mean() : 1) < std::max(1.0, warmth(n) * room[n]);
   }
 
   // The design's companion: a spread object is filled from the other cache of the hash's top two.
