--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -466,7 +466,7 @@
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(int n) {
     if (room[n] <= 0) room[n] = first_room(n);
-    return out_from[n] * (misses.heard() ? misses.mean() : 1) < std::max(1.0, warmth(n) * room[n]);
+    return out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n];
   }
 
   // The design's companion: a spread object is filled from the other cache of the hash's top two.
