Thin out fills as the location's link is reported full

Told from slow parents by the caches' own report of the link (x1). Holds for any cause of a full link; it hurts where reports come late, so they count for 3 s only.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -45,9 +45,12 @@
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
-constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
-constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
+constexpr double kLinkFull =
+    2.5;  // transfers for each that fits a location's link: fills still keep a client's pace
+constexpr Seconds kReportGood = 3.0;  // s: an older report of the link tells nothing
+constexpr double kTight = 0.6;        // of the contract time's slack over bare sending: more shows a crowd
+constexpr double kCut = 0.9;          // x: a node's room after a pull that took longer than that
+constexpr double kGrow = 0.1;         // transfers: more room after one that did not, at a node near its limit
 constexpr double kGrowFirst =
     0.5;  // transfers: the same until its first crowd, for links that nothing tells of
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
@@ -127,7 +130,7 @@
   std::uint64_t object = 0, unit = 0;
   std::int64_t group = 0;
   Seconds arrived = 0, hard_stop = 0, resume_at = kLongAgo, first_ran = 0;
-  double size_kb = 0;
+  double size_kb = 0, lot = 0;
   bool write = false, hot = false, known = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
   bool looked = false, no_origin = false;
@@ -463,6 +466,10 @@
   bool can_give(const Pull& p, int n) {
     return running[n] && !p.no_origin && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
   }
+  // Guards against a location's link that all its directors fill at once, each within its own rooms: as the
+  // caches report it fuller, a smaller part of the pulls may start a fill from outside. Each has drawn its
+  // lot on arrival.
+  bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot * link_load <= kLinkFull; }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(int n) {
     if (room[n] <= 0) room[n] = first_room(n);
@@ -486,6 +493,7 @@
 
   // All other fills, and retries after a sibling miss: the object's first kept parent by the hash.
   int choose_parent(const Pull& p, int& trial) {
+    if (!is_write(p) && !link_open(p)) return kNobody;
     for (const int n : by_hash(mix(p.object), true)) {
       if (!can_give(p, n)) continue;
       if (!is_out(n) && kept(n)) {
@@ -510,6 +518,7 @@
     return way;
   }
   int choose_origin(const Pull& p) {
+    if (!is_write(p) && !link_open(p)) return kNobody;
     for (int n = 0; n < count(); ++n)
       if (is_origin(n) && !is_out(n) && can_give(p, n) && (is_write(p) || source_room(n))) return n;
     return kNobody;
@@ -744,6 +753,12 @@
         break;
     }
   }
+  void hear(const NodeId& id, const LoadReport& report) {
+    const auto node = index.find(id.value);
+    const auto link = report.find("x1");
+    if (node == index.end() || link == report.end() || !is_cache(node->second)) return;
+    link_load = link->second, link_heard = now;
+  }
   // A fill that never took place is taken off the source's budget again.
   void settle(int n, double work) {
     if (work > 0) ledger[n].emplace_back(now, -work);
@@ -796,7 +811,8 @@
   Seconds now;
   std::vector<Grade> classes;
   int here = 0, parent_kind = -1, origin_kind = -1;
-  double flow = 0;
+  double flow = 0, link_load = 0;
+  Seconds link_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, misses;
 
@@ -898,6 +914,7 @@
     unit.at = now;
     p.hot = p.known && m.is_hot(p, unit.bytes);  // one pull is no crowd, however big
   }
+  p.lot = std::uniform_real_distribution<double>(0, 1)(m.chance);
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
@@ -920,11 +937,12 @@
   if (found != m.pulls.end()) found->second.bound = found->second.may_have_run = true;
 }
 
-void Director::hand_off_ended(Seconds now, const PullId& id, HandOffNumber number, const NodeId&,
-                              Result result, Note note, Seconds waited, Seconds spent, const LoadReport&,
-                              bool pull_over) {
+void Director::hand_off_ended(Seconds now, const PullId& id, HandOffNumber number, const NodeId& node,
+                              Result result, Note note, Seconds waited, Seconds spent,
+                              const LoadReport& report, bool pull_over) {
   Mind& m = *mind_;
   m.now = now;
+  m.hear(node, report);
   const auto found = m.pulls.find(id);
   if (found == m.pulls.end()) return;
   Pull& p = found->second;
@@ -944,7 +962,10 @@
   m.go_through_rules();
 }
 
-void Director::probe_ended(Seconds now, const NodeId&, Result, const LoadReport&) { mind_->now = now; }
+void Director::probe_ended(Seconds now, const NodeId& node, Result, const LoadReport& report) {
+  mind_->now = now;
+  mind_->hear(node, report);
+}
 
 // The moment of a purge is kept, not its age: bounds are taken from it when a pull is sent.
 void Director::object_purged(Seconds now, ObjectId object, Seconds age) {
