--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -45,12 +45,11 @@
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
-constexpr double kLinkFull =
-    2.5;  // transfers for each that fits a location's link: fills still keep a client's pace
-constexpr Seconds kReportGood = 3.0;  // s: an older report of the link tells nothing
-constexpr double kTight = 0.6;        // of the contract time's slack over bare sending: more shows a crowd
-constexpr double kCut = 0.9;          // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;         // transfers: more room after one that did not, at a node near its limit
+constexpr double kLinkFull = 1.5;      // transfers for each that fits a location's link at a fill's pace
+constexpr Seconds kReportGood = 3.0;   // s: an older report of the link tells nothing
+constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
+constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
+constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
 constexpr double kGrowFirst =
     0.5;  // transfers: the same until its first crowd, for links that nothing tells of
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
