--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -40,7 +40,7 @@
 constexpr Seconds kLongOut = 3.0;      // s: after a longer absence a node may have restarted unseen
 constexpr Seconds kSetup = 0.05;       // s: a hand-off's fixed part when times are put in proportion
 constexpr double kOverdue = 1.5;       // x expected time: a member on trial gets no more than this
-constexpr double kBudgetPart = 0.8;    // of the told limit: true capacity lies below the listed weight
+constexpr double kBudgetPart = 0.7;    // of the told limit: true capacity lies below the listed weight
 constexpr double kUnknownLink = 2.0;   // transfers: a link's size where no weight tells it, judged low
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
 constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
@@ -49,9 +49,9 @@
 constexpr Seconds kReportGood = 3.0;   // s: an older report of the link tells nothing
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;  // transfers: more room after one that did not, at a node near its limit
+constexpr double kGrow = 0.1;  // transfers: more room after one in good time, at a node near its limit
 constexpr double kGrowFirst =
-    0.5;  // transfers: the same until its first crowd, for links that nothing tells of
+    0.5;  // transfers: the same until its first crowd, as nothing may tell of a link
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
 constexpr double kSmallExtra = 1.5;   // x room for pulls too short to measure: much utility, little work
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
@@ -165,8 +165,8 @@
         actions(sink),
         chance(static_cast<std::uint_fast32_t>(mix(seed))),
         now(start) {
-    const int grades = static_cast<int>(number("RequestClasses.count", 1));
-    for (int i = 0; i < grades; ++i) {
+    const int listed_grades = static_cast<int>(number("RequestClasses.count", 1));
+    for (int i = 0; i < listed_grades; ++i) {
       const std::string at = "RequestClasses." + std::to_string(i) + ".";
       Grade grade;
       grade.contract = number(at + "PromiseS", grade.contract);
@@ -180,7 +180,7 @@
       grade.fresh = std::atof(item("FamilyInfo.GoodForS", i, "0").c_str());
       grade.grace = std::atof(item("FamilyInfo.StaleForS", i, "0").c_str());
       grade.through = item("FamilyInfo.GoesThrough", i, "false") == "true";
-      classes.push_back(grade);
+      grades.push_back(grade);
     }
     here = static_cast<int>(number("Locality", 0));
     parent_kind = static_cast<int>(number("FamilyInfo.ShieldKind", -1));
@@ -190,7 +190,7 @@
     actions.wake(now + kSweepEvery, {"sweep"});
   }
 
-  // --- settings -------------------------------------------------------------------------------------------
+  // --- settings ---
   std::string text(const std::string& name, const std::string& fallback) const {
     const auto found = settings.find(name);
     return found == settings.end() || found->second.empty() ? fallback : found->second;
@@ -212,7 +212,7 @@
     return rest.empty() ? fallback : rest;
   }
 
-  // --- nodes ----------------------------------------------------------------------------------------------
+  // --- nodes ---
   bool is_parent(int n) const { return kind[n] == parent_kind; }
   bool is_origin(int n) const { return kind[n] == origin_kind; }
   int count() const { return static_cast<int>(name.size()); }
@@ -253,7 +253,7 @@
     return order;
   }
 
-  // --- the design: three bands, for siblings and parents alike ---------------------------------------------
+  // --- the design: three bands, for siblings and parents alike ---
   Average pooled(const std::vector<Average>& figures, bool parents) const {
     Average pool;
     for (int n = 0; n < count(); ++n) {
@@ -280,8 +280,7 @@
     return held_share[n].mean() > kShareFloor;
   }
 
-  // --- budgets: guards against pushing over what has just started
-  // -------------------------------------------
+  // --- budgets: guards against pushing over what has just started ---
   Seconds warms_in(int n) const {
     return is_parent(n) ? number("FamilyInfo.ParentWarmsInS", 20) : number("Contract.ColdS", 20);
   }
@@ -321,7 +320,7 @@
     return work;
   }
 
-  // --- load: guards against a crowd that makes everybody late
+  // --- load: guards against a crowd that makes everybody late ---
   // ------------------------------------------------ // How many of our transfers a node may hold at once, so
   // that each ends well within its contract time. It starts from the listed weight and follows what is
   // measured, whatever slows the node down.
@@ -346,8 +345,7 @@
     }
   }
 
-  // --- health: guards against nodes that are silent, broken or cut off
-  // ---------------------------------------
+  // --- health: guards against nodes that are silent, broken or cut off ---
   void strike(int n, int by) {
     if (is_origin(n)) return;  // nobody could take its place, and nobody would try it again
     strikes[n] += by;
@@ -374,9 +372,8 @@
     serve_rate[n] = Throughput();
   }
 
-  // --- figures of a pull
-  // ------------------------------------------------------------------------------------
-  Grade& grade_of(const Pull& p) { return classes[p.grade]; }
+  // --- figures of a pull ---
+  Grade& grade_of(const Pull& p) { return grades[p.grade]; }
   double mean_send(const Pull& p) {
     const Average& send = grade_of(p).send;
     return send.heard() ? send.mean() : kUnknownSend;
@@ -428,8 +425,7 @@
     return bound;
   }
 
-  // --- choices: pure, so that a rule may ask before it acts
-  // --------------------------------------------------
+  // --- choices: pure, so that a rule may ask before it acts ---
   struct Way {
     int node = kNobody, source = kNobody, trial = kNobody;
     explicit operator bool() const { return node != kNobody && source != kNobody; }
@@ -584,8 +580,7 @@
       actions.wake(now + off.patience, {"late:" + std::to_string(p.offs.size() - 1) + ":" + p.id.value});
   }
 
-  // --- the rules: conditions and effects
-  // ----------------------------------------------------------------------
+  // --- the rules: conditions and effects ---
   bool owed(const Pull& p) { return !p.over && !p.bound; }
   bool idle(const Pull& p) { return owed(p) && p.out() == 0 && now >= p.resume_at; }
   bool ready(const Pull& p) {
@@ -593,7 +588,6 @@
     return idle(p) || (p.overdue && p.out() == 1 && allowed("Permissions.SecondCopies"));
   }
   bool is_write(const Pull& p) { return p.write || grade_of(p).through; }
-  bool fills(const Pull& p) { return ready(p) && !is_write(p); }
 
   bool is_quiet(const Pull& p) { return p.over && p.out() == 0; }
   void forget(Pull& p) { pulls.erase(PullId(p.id)); }
@@ -636,23 +630,19 @@
     actions.bounce(p.id, allowed("Permissions.RetryAfter") ? draw * most : 0);
   }
 
+  template <Way (Mind::*way)(const Pull&)>
+  bool can(const Pull& p) {
+    return ready(p) && !is_write(p) && (this->*way)(p);
+  }
+  template <Way (Mind::*way)(const Pull&)>
+  void take(Pull& p) {
+    hand_off(p, (this->*way)(p));
+  }
   bool has_write_way(const Pull& p) { return ready(p) && is_write(p) && write_way(p); }
-  void take_write_way(Pull& p) { hand_off(p, write_way(p)); }
-  bool has_spread_way(const Pull& p) { return fills(p) && spread_way(p); }
-  void take_spread_way(Pull& p) { hand_off(p, spread_way(p)); }
-  bool has_parent_way(const Pull& p) { return fills(p) && parent_way(p); }
-  void take_parent_way(Pull& p) { hand_off(p, parent_way(p)); }
-  bool has_origin_way(const Pull& p) { return fills(p) && origin_way(p); }
-  void take_origin_way(Pull& p) { hand_off(p, origin_way(p)); }
-  bool has_held_way(const Pull& p) { return fills(p) && held_way(p); }
   void take_held_way(Pull& p) {
-    const Way way = held_way(p);
+    take<&Mind::held_way>(p);
     p.looked = true;
-    hand_off(p, way);
   }
-  bool has_straight_way(const Pull& p) { return fills(p) && straight_way(p); }
-  void take_straight_way(Pull& p) { hand_off(p, straight_way(p)); }
-  bool has_stale_way(const Pull& p) { return fills(p) && stale_way(p); }
   void take_stale_way(Pull& p) {
     const Way way = stale_way(p);
     p.stale_will_do = true;
@@ -689,8 +679,7 @@
     touched.clear();
   }
 
-  // --- what is learnt from outcomes
-  // -----------------------------------------------------------------------------
+  // --- what is learnt from outcomes ---
   void learn(Pull& p, HandOff& off, Result result, Note note, Seconds waited, Seconds spent) {
     const int c = off.node, s = off.source;
     const bool asked = s != c;
@@ -708,7 +697,7 @@
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         serve_rate[c].add(now, p.size_kb);
         if (measurable && !filled) measure_room(c, out_here[c] + 1, crowded, off.sent);
-        if (asked && !filled) settle(s, off.source_charge);
+        if (asked && !filled) settle(s, off);
         if (!asked || !filled) break;
         answered(s), filled_at[s] = now;
         if (measurable) {
@@ -758,9 +747,10 @@
     if (node == index.end() || link == report.end() || !is_cache(node->second)) return;
     link_load = link->second, link_heard = now;
   }
-  // A fill that never took place is taken off the source's budget again.
-  void settle(int n, double work) {
-    if (work > 0) ledger[n].emplace_back(now, -work);
+  // A fill that never took place is taken off the source's budget, at the time it was charged: a later entry
+  // would outlive the charge and let more through than the budget holds.
+  void settle(int n, const HandOff& off) {
+    if (off.source_charge > 0) ledger[n].emplace_back(off.sent, -off.source_charge);
   }
 
   // Who is to blame for a hand-off that stays out: the cache if nobody has heard of it since, else the source
@@ -808,7 +798,7 @@
   Actions& actions;
   std::knuth_b chance;
   Seconds now;
-  std::vector<Grade> classes;
+  std::vector<Grade> grades;
   int here = 0, parent_kind = -1, origin_kind = -1;
   double flow = 0, link_load = 0;
   Seconds link_heard = kLongAgo;
@@ -843,13 +833,17 @@
     {"over with hand-offs out: call them off", &Mind::has_leftovers, &Mind::call_off},
     {"its time is up: forfeit", &Mind::time_is_up, &Mind::forfeit},
     {"no further hand-off may or can be made: give it up", &Mind::is_spent, &Mind::give_up},
-    {"a write: the shortest way to the origin", &Mind::has_write_way, &Mind::take_write_way},
-    {"spread: one of the top two, filled from the other", &Mind::has_spread_way, &Mind::take_spread_way},
-    {"ordinary: home, filled from the first kept parent", &Mind::has_parent_way, &Mind::take_parent_way},
-    {"no parent kept: home, filled from the origin", &Mind::has_origin_way, &Mind::take_origin_way},
-    {"no source can take it: home, what it holds", &Mind::has_held_way, &Mind::take_held_way},
-    {"no cache can take it: straight to a parent", &Mind::has_straight_way, &Mind::take_straight_way},
-    {"nothing fresh to be had: a stale copy", &Mind::has_stale_way, &Mind::take_stale_way},
+    {"a write: the shortest way to the origin", &Mind::has_write_way, &Mind::take<&Mind::write_way>},
+    {"spread: one of the top two, filled from the other", &Mind::can<&Mind::spread_way>,
+     &Mind::take<&Mind::spread_way>},
+    {"ordinary: home, filled from the first kept parent", &Mind::can<&Mind::parent_way>,
+     &Mind::take<&Mind::parent_way>},
+    {"no parent kept: home, filled from the origin", &Mind::can<&Mind::origin_way>,
+     &Mind::take<&Mind::origin_way>},
+    {"no source can take it: home, what it holds", &Mind::can<&Mind::held_way>, &Mind::take_held_way},
+    {"no cache can take it: straight to a parent", &Mind::can<&Mind::straight_way>,
+     &Mind::take<&Mind::straight_way>},
+    {"nothing fresh to be had: a stale copy", &Mind::can<&Mind::stale_way>, &Mind::take_stale_way},
     {"late, and nobody else to ask: wait on", &Mind::is_late_alone, &Mind::wait_on},
     {"turned away by all: ask again in a moment", &Mind::may_pause, &Mind::pause},
     {"nobody to ask: give it up", &Mind::idle, &Mind::give_up},
@@ -902,10 +896,10 @@
   Mind& m = *mind_;
   m.now = now;
   Pull p;
-  p.id = id, p.grade = std::clamp(grade.value, 0, static_cast<int>(m.classes.size()) - 1);
+  p.id = id, p.grade = std::clamp(grade.value, 0, static_cast<int>(m.grades.size()) - 1);
   p.object = object.value, p.unit = mix(object.value) ^ mix(~static_cast<std::uint64_t>(part.value));
   p.group = group.value, p.arrived = now, p.hard_stop = hard_stop, p.size_kb = size_kb, p.write = is_write;
-  if (m.flow > 0 && size_kb > 0) m.classes[p.grade].send.add(now, size_kb / m.flow, 1);
+  if (m.flow > 0 && size_kb > 0) m.grades[p.grade].send.add(now, size_kb / m.flow, 1);
   if (!m.is_write(p)) {
     Unit& unit = m.units[p.unit];
     p.known = unit.at > kLongAgo;
