--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -471,12 +471,11 @@
     return out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n];
   }
 
-  // The design's companion: a spread object is filled from the other cache of the hash's top two. Departure:
-  // so is any object whose cache has just started, as the other one stood in for it and may well hold it.
+  // The design's companion: a spread object is filled from the other cache of the hash's top two.
   Way spread_way(const Pull& p) {
-    if (text("FamilyInfo.PeersFill", "none") == "none") return {};
+    if (!p.hot || text("FamilyInfo.PeersFill", "none") == "none") return {};
     const Way way = choose_cache(p);
-    if (!way || way.trial != kNobody || (!p.hot && !cold(way.node))) return {};
+    if (!way || way.trial != kNobody) return {};
     const std::vector<int> order = by_hash(p.unit, false);
     for (std::size_t i = 0; i < std::min<std::size_t>(2, order.size()); ++i) {
       const int n = order[i];
