Send pulls that no cache has room for straight to a parent with room

Told by counting why pulls were given up. Holds for any lack of room at the caches; it hurts where parents are the scarce part, which their rooms must then tell.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -468,7 +468,8 @@
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(int n) {
     if (room[n] <= 0) room[n] = first_room(n);
-    return out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n];
+    const double straight = is_cache_kind(n) ? 0 : out_here[n];
+    return straight + out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n];
   }
 
   // The design's companion: a spread object is filled from the other cache of the hash's top two.
@@ -528,14 +529,15 @@
   // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
   Way straight_way(const Pull& p) {
     if (!allowed("FamilyInfo.Direct")) return {};
-    for (int n = 0; n < count(); ++n)
-      if (is_cache(n) && running[n] && !is_out(n) && has_budget(n, mean_send(p))) return {};
+    if (choose_cache(p)) return {};
     Way way;
     way.node = choose_parent(p, way.trial);
     if (way.node == kNobody) way.node = choose_origin(p);
     way.source = way.node;
     if (way.node == kNobody || !may_go_to(p, way.node)) return {};
-    if (is_parent(way.node)) way.source = choose_origin(p);
+    // What the parent lacks it fetches as for any other fill.
+    for (int n = 0; n < count() && is_parent(way.node); ++n)
+      if (is_origin(n) && can_give(p, n)) way.source = n;
     return way;
   }
   // A write is never kept: no hierarchy can serve it. It takes the way with the fewest parts that can fail.
