--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -120,7 +120,7 @@
   int node = kNobody, source = kNobody;
   Seconds sent = 0, patience = 0;
   bool out = true, cancelled = false, trial = false;
-  double node_charge = 0, source_charge = 0;
+  double source_charge = 0;
 };
 
 struct Pull {
@@ -558,7 +558,7 @@
   void hand_off(Pull& p, const Way& way) {
     HandOff off;
     off.node = way.node, off.source = way.source, off.sent = now, off.trial = way.trial != kNobody;
-    off.node_charge = charge(way.node, mean_send(p));
+    charge(way.node, is_cache_kind(way.node) ? mean_send(p) : send_time(p));
     if (way.source != way.node) off.source_charge = charge(way.source, send_time(p));
     if (off.trial) next_trial[way.trial] = now + (is_out(way.trial) ? back_off[way.trial] : kTrialEvery);
     const Seconds wait = expected(p), in_hand = contract_time(p) - (now - p.arrived) - wait;
