Give short pulls half as much room again at sources too

Holds for any scarce link; it would hurt a grade whose pulls are all long, which the worst grade's part of the goal would show.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -330,9 +330,10 @@
     return is_cache_kind(n) ? std::max(1.0, std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str()))
                             : all;
   }
+  double extra(const Pull& p) { return send_time(p) < kMeasurable ? kSmallExtra : 1; }
   bool has_room(const Pull& p, int n) {
     if (room[n] <= 0) room[n] = first_room(n);
-    return out_here[n] < std::max(1.0, warmth(n) * room[n]) * (send_time(p) < kMeasurable ? kSmallExtra : 1);
+    return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p);
   }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (room[n] <= 0) room[n] = first_room(n);
@@ -466,10 +467,10 @@
   // lot on arrival.
   bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot * link_load <= kLinkFull; }
   // Most pulls that name a source never need it: of those out, the usual part counts.
-  bool source_room(int n) {
+  bool source_room(const Pull& p, int n) {
     if (room[n] <= 0) room[n] = first_room(n);
     const double straight = is_cache_kind(n) ? 0 : out_here[n];
-    return straight + out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n];
+    return straight + out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n] * extra(p);
   }
 
   // The design's companion: a spread object is filled from the other cache of the hash's top two.
@@ -493,7 +494,7 @@
     for (const int n : by_hash(mix(p.object), true)) {
       if (!can_give(p, n)) continue;
       if (!is_out(n) && kept(n)) {
-        if (source_room(n)) return n;
+        if (source_room(p, n)) return n;
         continue;
       }
       if (trial == kNobody && trial_due(p, n)) return trial = n;
@@ -516,7 +517,7 @@
   int choose_origin(const Pull& p) {
     if (!is_write(p) && !link_open(p)) return kNobody;
     for (int n = 0; n < count(); ++n)
-      if (is_origin(n) && !is_out(n) && can_give(p, n) && (is_write(p) || source_room(n))) return n;
+      if (is_origin(n) && !is_out(n) && can_give(p, n) && (is_write(p) || source_room(p, n))) return n;
     return kNobody;
   }
   Way origin_way(const Pull& p) {
