--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -53,7 +53,7 @@
 constexpr double kGrowFirst =
     0.5;  // transfers: the same until its first crowd, as nothing may tell of a link
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
-constexpr double kSmallExtra = 1.5;   // x room for pulls too short to measure: much utility, little work
+constexpr double kSmallExtra = 2.5;   // x room for pulls too short to measure: much utility, little work
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
 constexpr Seconds kComeBack = 1.0;    // s: advice to a bounced client, drawn from half of it upwards
 constexpr Seconds kListAgain = 1.0;   // s: before following the list anew after a failure
