--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -906,9 +906,10 @@
   if (!m.is_write(p)) {
     Unit& unit = m.units[p.unit];
     p.known = unit.at > kLongAgo;
+    const bool again = now - unit.at <= kHotSpan;
     unit.bytes = unit.bytes * std::exp((unit.at - now) / kHotSpan) + size_kb;
     unit.at = now;
-    p.hot = p.known && m.is_hot(p, unit.bytes);  // one pull is no crowd, however big
+    p.hot = again && m.is_hot(p, unit.bytes);  // one pull in the span is no crowd, however big
   }
   p.lot = std::uniform_real_distribution<double>(0, 1)(m.chance);
   m.pulls.insert_or_assign(id, std::move(p));
