--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -733,8 +733,10 @@
         break;
       case Result::kUnreachable:
       case Result::kBroken:
-        strike(c, kStrikesOut);
-        p.bad_nodes.push_back(c);
+        // One broken hand-off may be chance, and the home is still the best to ask. A node that died breaks
+        // all that it held, and then can't be reached.
+        strike(c, result == Result::kBroken ? 1 : kStrikesOut);
+        if (is_out(c) || is_origin(c)) p.bad_nodes.push_back(c);
         break;
       case Result::kTimedOut:
         suspect(p, off);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -324,6 +324,16 @@
   check_trace("silent_cache", rig.taken());
 }
 
+TEST_CASE("one broken hand-off may be chance, two in a row leave the cache out") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 c2 P1 O");
+  rig.pull("p1", 1);
+  rig.ends("p1", 0, Result::kBroken);
+  rig.ends("p1", 1, Result::kBroken);
+  rig.ends("p1", 2, Result::kCompleted, Note::kFilled, 0.4);
+  check_trace("broken", rig.taken());
+}
+
 TEST_CASE("settings: no second copies, no parents, list by asking, nothing set") {
   Rig single(Settings{{"Permissions.SecondCopies", "false"}});
   single.list(ListScope::kCached, "c1 c2 P1 O");
