--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -568,8 +568,7 @@
     FillTerms fill;
     fill.source = name[way.source];
     fill.oldest_copy = oldest_copy(p);
-    const bool little = send_time(p) < kMeasurable;
-    fill.rank = is_write(p) ? 0 : p.hot || (p.known && little) ? 3 : p.known || little ? 2 : 1;
+    fill.rank = is_write(p) ? 0 : p.hot ? 3 : p.known ? 2 : 1;
     fill.join = allowed("FamilyInfo.CanJoin");
     fill.renew = grade_of(p).fresh > 0;
     const bool repeatable = grade_of(p).effect == Effect::kRetriable;
