--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -770,12 +770,6 @@
     const bool asked = off.source != off.node;
     measure_room(asked ? off.source : off.node, 0, true, off.sent);  // late is late, whoever is to blame
     if (!asked || filled_at[off.source] >= off.sent) return false;
-    // Guards against blaming parents for a slow origin: one is to blame only if another has given something
-    // since.
-    bool others_give = !is_parent(off.source);
-    for (int n = 0; n < count(); ++n)
-      others_give = others_give || (n != off.source && is_parent(n) && filled_at[n] >= off.sent);
-    if (!others_give) return false;
     strike(off.source, 1);
     p.bad_sources.push_back(off.source);
     return true;
