--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -724,7 +724,10 @@
         if (asked && (lost || note == Note::kSourceRefused || note == Note::kOriginFailed)) {
           p.bad_sources.push_back(s);
           // What failed behind one parent fails behind the next, and the next try only adds to it.
-          if (note == Note::kOriginFailed) p.no_origin = true, origin_failed_at = now;
+          if (note == Note::kOriginFailed) p.no_origin = true;
+          // A parent that refuses, or tells of the origin's failure, is alive: a slow origin must not cost us
+          // parents.
+          if (!lost) answered(s), filled_at[s] = now;
           measure_room(s, 0, true, off.sent);
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
         } else if (result == Result::kTurnedAway) {
@@ -770,9 +773,6 @@
     const bool asked = off.source != off.node;
     measure_room(asked ? off.source : off.node, 0, true, off.sent);  // late is late, whoever is to blame
     if (!asked || filled_at[off.source] >= off.sent) return false;
-    // Guards against losing parents to a slow origin: while it is known to fail, lateness says nothing of
-    // them.
-    if (is_parent(off.source) && now - origin_failed_at < kTrialEvery) return false;
     strike(off.source, 1);
     p.bad_sources.push_back(off.source);
     return true;
@@ -809,7 +809,7 @@
   std::vector<Grade> grades;
   int here = 0, parent_kind = -1, origin_kind = -1;
   double flow = 0, link_load = 0;
-  Seconds link_heard = kLongAgo, origin_failed_at = kLongAgo;
+  Seconds link_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, misses;
 
