--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -725,9 +725,6 @@
           p.bad_sources.push_back(s);
           // What failed behind one parent fails behind the next, and the next try only adds to it.
           if (note == Note::kOriginFailed) p.no_origin = true;
-          // A parent that refuses, or tells of the origin's failure, is alive: a slow origin must not cost us
-          // parents.
-          if (!lost) answered(s), filled_at[s] = now;
           measure_room(s, 0, true, off.sent);
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
         } else if (result == Result::kTurnedAway) {
