Ask for a failed fill again only in proportion to fills that come in

Cause: fills that parents refused were tried at every parent and again after pauses, so the jam fed itself. A retry budget is scale-free: it needs no number of directors. It should also meet a stopped origin and lost parents; it could hurt where many parents die unseen.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,6 +54,8 @@
     0.5;  // transfers: the same until its first crowd, as nothing may tell of a link
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
 constexpr double kSmallExtra = 2.5;   // x room for pulls too short to measure: much utility, little work
+constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
+constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
 constexpr Seconds kComeBack = 1.0;    // s: advice to a bounced client, drawn from half of it upwards
 constexpr Seconds kListAgain = 1.0;   // s: before following the list anew after a failure
@@ -132,7 +134,7 @@
   double size_kb = 0, lot = 0;
   bool write = false, hot = false, known = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
-  bool looked = false, no_origin = false;
+  bool looked = false, no_origin = false, in_vain = false;
   int first_node = kNobody, pauses = 0;
   std::vector<HandOff> offs;
   std::vector<int> bad_nodes, bad_sources;
@@ -460,6 +462,9 @@
   }
 
   bool can_give(const Pull& p, int n) {
+    // Guards against retries that keep a jam alive after its cause has gone: fills that failed are tried again
+    // only in proportion to those that come in, whatever the number of directors.
+    if (p.in_vain && !is_cache_kind(n) && spare_fills < 1) return false;
     return running[n] && !p.no_origin && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
   }
   // Guards against a location's link that all its directors fill at once, each within its own rooms: as the
@@ -562,6 +567,7 @@
     charge(way.node, is_cache_kind(way.node) ? mean_send(p) : send_time(p));
     if (way.source != way.node) off.source_charge = charge(way.source, send_time(p));
     if (off.trial) next_trial[way.trial] = now + (is_out(way.trial) ? back_off[way.trial] : kTrialEvery);
+    if (p.in_vain && way.source != way.node && !is_cache_kind(way.source)) spare_fills -= 1;
     const Seconds wait = expected(p), in_hand = contract_time(p) - (now - p.arrived) - wait;
     // As long as a further hand-off could still make the contract time; less for a member on trial.
     off.patience = off.trial ? kOverdue * wait : std::max(kOverdue * wait, in_hand);
@@ -703,6 +709,7 @@
         if (asked && !filled) settle(s, off);
         if (!asked || !filled) break;
         answered(s), filled_at[s] = now;
+        if (!crowded) spare_fills = std::min(kSaved, spare_fills + kEarned);
         if (measurable) {
           measure_room(s, (out_from[s] + 1) * misses.mean(), crowded, off.sent);
           fill_rate[s].add(now, p.size_kb, spent);
@@ -722,7 +729,7 @@
       case Result::kTurnedAway:
       case Result::kError:
         if (asked && (lost || note == Note::kSourceRefused || note == Note::kOriginFailed)) {
-          p.bad_sources.push_back(s);
+          p.bad_sources.push_back(s), p.in_vain = true;
           // What failed behind one parent fails behind the next, and the next try only adds to it.
           if (note == Note::kOriginFailed) p.no_origin = true;
           measure_room(s, 0, true, off.sent);
@@ -771,7 +778,7 @@
     measure_room(asked ? off.source : off.node, 0, true, off.sent);  // late is late, whoever is to blame
     if (!asked || filled_at[off.source] >= off.sent) return false;
     strike(off.source, 1);
-    p.bad_sources.push_back(off.source);
+    p.bad_sources.push_back(off.source), p.in_vain = true;
     return true;
   }
   void late(const PullId& id, std::size_t place) {
@@ -805,7 +812,7 @@
   Seconds now;
   std::vector<Grade> grades;
   int here = 0, parent_kind = -1, origin_kind = -1;
-  double flow = 0, link_load = 0;
+  double flow = 0, link_load = 0, spare_fills = kSaved;
   Seconds link_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, misses;
