--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,6 +37,7 @@
 constexpr Seconds kMeasurable = 0.1;   // s of sending: shorter fills tell of delays, not of a rate
 constexpr Seconds kTrialFirst = 0.5;   // s: first trial of a node left out; doubles up to kTrialEvery
 constexpr int kStrikesOut = 2;         // silent hand-offs in a row: one may be chance
+constexpr double kByChance = 0.01;     // more in a row where so many would still be commoner than this
 constexpr Seconds kLongOut = 3.0;      // s: after a longer absence a node may have restarted unseen
 constexpr Seconds kSetup = 0.05;       // s: a hand-off's fixed part when times are put in proportion
 constexpr double kOverdue = 1.5;       // x expected time: a member on trial gets no more than this
@@ -349,18 +350,25 @@
   }
 
   // --- health: guards against nodes that are silent, broken or cut off ---
+  // Guards against a slow spell taken for silence where a director hears of a node only now and then: strikes
+  // that an answer took back show how common they are by chance.
+  double strikes_out() const {
+    const double common = false_strikes.heard() ? std::clamp(false_strikes.mean(), 1e-6, 0.9) : 0;
+    return common > 0 ? std::max<double>(kStrikesOut, std::log(kByChance) / std::log(common)) : kStrikesOut;
+  }
   void strike(int n, int by) {
     if (is_origin(n)) return;  // nobody could take its place, and nobody would try it again
     strikes[n] += by;
     if (is_out(n)) {
       back_off[n] = std::min(2 * back_off[n], kTrialEvery);
       next_trial[n] = now + back_off[n];
-    } else if (strikes[n] >= kStrikesOut) {
+    } else if (strikes[n] >= strikes_out()) {
       out_since[n] = now, back_off[n] = kTrialFirst, next_trial[n] = now + back_off[n];
       actions.log("left out: " + name[n].value);
     }
   }
   void answered(int n) {
+    false_strikes.add(now, strikes[n], 1 + strikes[n]);
     heard_at[n] = now, strikes[n] = 0;
     if (!is_out(n)) return;
     if (now - out_since[n] > kLongOut) started(n, now);
@@ -815,7 +823,7 @@
   double flow = 0, link_load = 0, spare_fills = kSaved;
   Seconds link_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
-  Average pace, origin_rate, misses;
+  Average pace, origin_rate, misses, false_strikes;
 
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
