Count strikes that answers took back for parents and caches apart

A director of 209 hears of a parent every few seconds, so two late fills in a row were no proof of silence; the parent was left out and its objects moved to parents that lack them. Also meets slow origins; it could hurt by finding a silent parent later after a slow spell.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -352,7 +352,8 @@
   // --- health: guards against nodes that are silent, broken or cut off ---
   // Guards against a slow spell taken for silence where a director hears of a node only now and then: strikes
   // that an answer took back show how common they are by chance.
-  double strikes_out() const {
+  double strikes_out(int n) const {
+    const Average& false_strikes = is_parent(n) ? false_parents : false_caches;
     const double common = false_strikes.heard() ? std::clamp(false_strikes.mean(), 1e-6, 0.9) : 0;
     return common > 0 ? std::max<double>(kStrikesOut, std::log(kByChance) / std::log(common)) : kStrikesOut;
   }
@@ -362,13 +363,13 @@
     if (is_out(n)) {
       back_off[n] = std::min(2 * back_off[n], kTrialEvery);
       next_trial[n] = now + back_off[n];
-    } else if (strikes[n] >= strikes_out()) {
+    } else if (strikes[n] >= strikes_out(n)) {
       out_since[n] = now, back_off[n] = kTrialFirst, next_trial[n] = now + back_off[n];
       actions.log("left out: " + name[n].value);
     }
   }
   void answered(int n) {
-    false_strikes.add(now, strikes[n], 1 + strikes[n]);
+    (is_parent(n) ? false_parents : false_caches).add(now, strikes[n], 1 + strikes[n]);
     heard_at[n] = now, strikes[n] = 0;
     if (!is_out(n)) return;
     if (now - out_since[n] > kLongOut) started(n, now);
@@ -823,7 +824,7 @@
   double flow = 0, link_load = 0, spare_fills = kSaved;
   Seconds link_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
-  Average pace, origin_rate, misses, false_strikes;
+  Average pace, origin_rate, misses, false_caches, false_parents;
 
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
