--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -55,9 +55,6 @@
     0.5;  // transfers: the same until its first crowd, as nothing may tell of a link
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
 constexpr double kSmallExtra = 2.5;   // x room for pulls too short to measure: much utility, little work
-constexpr double kShareCut = 0.9;      // x: the share of pulls that may start a fill, after a crowded one
-constexpr double kShareGrow = 0.02;    // more of it after one in good time: doubles within some 25 fills
-constexpr double kLeastShare = 0.05;   // of pulls: fewer would tell too little of when a jam is over
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
@@ -341,11 +338,6 @@
     if (room[n] <= 0) room[n] = first_room(n);
     return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p);
   }
-  void measure_share(bool crowded, Seconds sent) {
-    if (!crowded) fill_share = std::min(1.0, fill_share + kShareGrow);
-    if (!crowded || sent <= share_cut_at) return;
-    fill_share = std::max(kLeastShare, kShareCut * fill_share), share_cut_at = now;
-  }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (room[n] <= 0) room[n] = first_room(n);
     if (crowded) {
@@ -487,10 +479,7 @@
   // Guards against a location's link that all its directors fill at once, each within its own rooms: as the
   // caches report it fuller, a smaller part of the pulls may start a fill from outside. Each has drawn its
   // lot on arrival.
-  bool link_open(const Pull& p) {
-    if (p.lot > fill_share) return false;
-    return now - link_heard > kReportGood || p.lot * link_load <= kLinkFull;
-  }
+  bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot * link_load <= kLinkFull; }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
     if (room[n] <= 0) room[n] = first_room(n);
@@ -729,7 +718,6 @@
         if (asked && !filled) settle(s, off);
         if (!asked || !filled) break;
         answered(s), filled_at[s] = now;
-        if (!is_cache_kind(s)) measure_share(crowded, off.sent);
         if (!crowded) spare_fills = std::min(kSaved, spare_fills + kEarned);
         if (measurable) {
           measure_room(s, (out_from[s] + 1) * misses.mean(), crowded, off.sent);
@@ -754,7 +742,6 @@
           // What failed behind one parent fails behind the next, and the next try only adds to it.
           if (note == Note::kOriginFailed) p.no_origin = true;
           measure_room(s, 0, true, off.sent);
-          if (!is_cache_kind(s)) measure_share(true, off.sent);
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
         } else if (result == Result::kTurnedAway) {
           p.bad_nodes.push_back(c);
@@ -798,7 +785,6 @@
     }
     const bool asked = off.source != off.node;
     measure_room(asked ? off.source : off.node, 0, true, off.sent);  // late is late, whoever is to blame
-    if (asked && !is_cache_kind(off.source)) measure_share(true, off.sent);
     if (!asked || filled_at[off.source] >= off.sent) return false;
     strike(off.source, 1);
     p.bad_sources.push_back(off.source), p.in_vain = true;
@@ -836,8 +822,7 @@
   std::vector<Grade> grades;
   int here = 0, parent_kind = -1, origin_kind = -1;
   double flow = 0, link_load = 0, spare_fills = kSaved;
-  double fill_share = 1;
-  Seconds link_heard = kLongAgo, share_cut_at = kLongAgo;
+  Seconds link_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, misses, false_caches, false_parents;
 
