Draw a pull's lot by the hash of its object and time

Cause: with fills thinned out by a full link, each client repeat drew anew and got through; now the same objects are filled by all directors of a location and then hit. Also meets any trouble with many repeats; an object can stay unfilled for up to 30 s while the link is full.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -101,6 +101,11 @@
   return x ^ (x >> 31);
 }
 
+// A number between 0 and 1 that looks drawn, but is the same wherever the key is.
+double unit_draw(std::uint64_t key) {
+  return (static_cast<double>(mix(key) >> 11) + 0.5) / 9007199254740992.0;
+}
+
 // Our own hash of a node's id (FNV-1a): the same at every director and in every build.
 std::uint64_t hash_text(const std::string& text) {
   std::uint64_t hash = 0xcbf29ce484222325u;
@@ -247,8 +252,7 @@
     std::vector<std::pair<double, int>> scored;
     for (int n = 0; n < count(); ++n) {
       if (!listed[n] || !(parents ? is_parent(n) : is_cache(n))) continue;
-      const double draw = (static_cast<double>(mix(key ^ hash[n]) >> 11) + 0.5) / 9007199254740992.0;
-      scored.emplace_back(-std::log(draw) / hash_weight(n), n);
+      scored.emplace_back(-std::log(unit_draw(key ^ hash[n])) / hash_weight(n), n);
     }
     std::sort(scored.begin(), scored.end());
     std::vector<int> order;
@@ -477,8 +481,7 @@
     return running[n] && !p.no_origin && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
   }
   // Guards against a location's link that all its directors fill at once, each within its own rooms: as the
-  // caches report it fuller, a smaller part of the pulls may start a fill from outside. Each has drawn its
-  // lot on arrival.
+  // caches report it fuller, a smaller part of the pulls may start a fill from outside, by lot.
   bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot * link_load <= kLinkFull; }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
@@ -929,7 +932,8 @@
     unit.at = now;
     p.hot = again && m.is_hot(p, unit.bytes);  // one pull in the span is no crowd, however big
   }
-  p.lot = std::uniform_real_distribution<double>(0, 1)(m.chance);
+  // By object and time, so that neither a client's repeat nor another director draws anew.
+  p.lot = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
