Cut the part of pulls that may fill at each report of a full link

Cause: a part in proportion to the report left a location with 12 directors at twenty times what its link bears. Also meets fills that run on after their client left; a slow report can cut too far.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -55,6 +55,9 @@
     0.5;  // transfers: the same until its first crowd, as nothing may tell of a link
 constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
 constexpr double kSmallExtra = 2.5;   // x room for pulls too short to measure: much utility, little work
+constexpr double kLinkCut = 0.8;       // x: the part of pulls that may fill, at each report of a full link
+constexpr double kLinkGrow = 0.05;     // of the pulls: more of them at each report of a link with room
+constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
@@ -482,7 +485,7 @@
   }
   // Guards against a location's link that all its directors fill at once, each within its own rooms: as the
   // caches report it fuller, a smaller part of the pulls may start a fill from outside, by lot.
-  bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot * link_load <= kLinkFull; }
+  bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot <= link_part; }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
     if (room[n] <= 0) room[n] = first_room(n);
@@ -769,7 +772,9 @@
     const auto node = index.find(id.value);
     const auto link = report.find("x1");
     if (node == index.end() || link == report.end() || !is_cache(node->second)) return;
-    link_load = link->second, link_heard = now;
+    if (now - link_heard < kReportEvery) return;
+    link_heard = now;
+    link_part = link->second > kLinkFull ? kLinkCut * link_part : std::min(1.0, link_part + kLinkGrow);
   }
   // A fill that never took place is taken off the source's budget, at the time it was charged: a later entry
   // would outlive the charge and let more through than the budget holds.
@@ -824,7 +829,7 @@
   Seconds now;
   std::vector<Grade> grades;
   int here = 0, parent_kind = -1, origin_kind = -1;
-  double flow = 0, link_load = 0, spare_fills = kSaved;
+  double flow = 0, link_part = 1, spare_fills = kSaved;
   Seconds link_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, misses, false_caches, false_parents;
