Look for a held copy before a fill where none can be joined

Cause: where no fill can be joined, each repeat of a pull starts another fill of the same object on the same full link. A look counts against a cold cache's budget, so cold caches are not looked at first.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -58,6 +58,8 @@
 constexpr double kLinkCut = 0.8;       // x: the part of pulls that may fill, at each report of a full link
 constexpr double kLinkGrow = 0.05;     // of the pulls: more of them at each report of a link with room
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
+constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
+constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
@@ -143,8 +145,8 @@
   double size_kb = 0, lot = 0;
   bool write = false, hot = false, known = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
-  bool looked = false, no_origin = false, in_vain = false;
-  int first_node = kNobody, pauses = 0;
+  bool looked = false, no_origin = false, in_vain = false, under_way = false;
+  int first_node = kNobody, pauses = 0, looks = 0;
   std::vector<HandOff> offs;
   std::vector<int> bad_nodes, bad_sources;
   int out() const {
@@ -547,6 +549,14 @@
   }
   // While no source can take a fill, what the home holds can still be had.
   Way held_way(const Pull& p) { return p.looked ? Way() : choose_cache(p); }
+  // Guards against fills of what is being filled already, where a pull can't join one: it asks for what the
+  // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
+  Way look_way(const Pull& p) {
+    if (allowed("FamilyInfo.CanJoin") || p.hot || p.in_vain || p.looks >= kLooks) return {};
+    if (p.looks > 0 && !p.under_way) return {};
+    const Way way = choose_cache(p);
+    return way && way.trial == kNobody && !cold(way.node) ? way : Way();
+  }
   // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
   Way straight_way(const Pull& p) {
     if (!allowed("FamilyInfo.Direct")) return {};
@@ -667,6 +677,10 @@
     take<&Mind::held_way>(p);
     p.looked = true;
   }
+  void take_look_way(Pull& p) {
+    take<&Mind::look_way>(p);
+    ++p.looks, p.under_way = false;
+  }
   void take_stale_way(Pull& p) {
     const Way way = stale_way(p);
     p.stale_will_do = true;
@@ -737,6 +751,10 @@
         break;
       }
       case Result::kAbsent:
+        if (!asked && note == Note::kJoined && p.looks < kLooks && p.hard_stop - now > kLookAgain + expected(p)) {
+          p.under_way = true, p.resume_at = now + kLookAgain;
+          actions.wake(p.resume_at, {"resume:" + p.id.value});
+        }
         if (!asked) break;
         if (is_cache_kind(s)) answered(s), held_share[s].add(now, 0, 1);
         p.bad_sources.push_back(s);
@@ -863,6 +881,8 @@
     {"its time is up: forfeit", &Mind::time_is_up, &Mind::forfeit},
     {"no further hand-off may or can be made: give it up", &Mind::is_spent, &Mind::give_up},
     {"a write: the shortest way to the origin", &Mind::has_write_way, &Mind::take<&Mind::write_way>},
+    {"a fill may be under way that can't be joined: home, what it holds", &Mind::can<&Mind::look_way>,
+     &Mind::take_look_way},
     {"spread: one of the top two, filled from the other", &Mind::can<&Mind::spread_way>,
      &Mind::take<&Mind::spread_way>},
     {"ordinary: home, filled from the first kept parent", &Mind::can<&Mind::parent_way>,
