Thin out fetches from the origin as they fail; writes pause between tries

Cause: the origin turned away fetches behind parents and the writes with them. Parents give what they hold to the rest.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -60,6 +60,9 @@
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
+constexpr double kOriginCut = 0.85;    // x: the part of pulls that may reach the origin, after a failure there
+constexpr double kOriginGrow = 0.02;   // of the pulls: more of them after an answer in good time
+constexpr double kOriginLeast = 0.05;  // of the pulls: fewer would not tell when the origin is back
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
@@ -488,6 +491,14 @@
   // Guards against a location's link that all its directors fill at once, each within its own rooms: as the
   // caches report it fuller, a smaller part of the pulls may start a fill from outside, by lot.
   bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot <= link_part; }
+  // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail or
+  // are late there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
+  bool origin_open(const Pull& p) { return is_write(p) || p.lot <= origin_part; }
+  void measure_origin(bool crowded, Seconds sent) {
+    if (!crowded) origin_part = std::min(1.0, origin_part + kOriginGrow);
+    if (!crowded || sent <= origin_cut_at) return;
+    origin_part = std::max(kOriginLeast, kOriginCut * origin_part), origin_cut_at = now;
+  }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
     if (room[n] <= 0) room[n] = first_room(n);
@@ -537,7 +548,7 @@
     return way;
   }
   int choose_origin(const Pull& p) {
-    if (!is_write(p) && !link_open(p)) return kNobody;
+    if (!is_write(p) && (!link_open(p) || !origin_open(p))) return kNobody;
     for (int n = 0; n < count(); ++n)
       if (is_origin(n) && !is_out(n) && can_give(p, n) && (is_write(p) || source_room(p, n))) return n;
     return kNobody;
@@ -601,6 +612,7 @@
     fill.oldest_copy = oldest_copy(p);
     fill.rank = is_write(p) ? 0 : p.hot ? 3 : p.known ? 2 : 1;
     fill.join = allowed("FamilyInfo.CanJoin");
+    fill.held_only = is_parent(way.source) && !origin_open(p);
     fill.renew = grade_of(p).fresh > 0;
     const bool repeatable = grade_of(p).effect == Effect::kRetriable;
     const bool call_back = allowed("Permissions.SecondCopies") || allowed("Permissions.Cancel");
@@ -687,6 +699,10 @@
     hand_off(p, way);
   }
 
+  void wait(Pull& p, Seconds pause) {
+    p.resume_at = now + pause;
+    actions.wake(p.resume_at, {"resume:" + p.id.value});
+  }
   // Where others only turned the pull away, they are asked once more after a moment.
   bool may_pause(const Pull& p) {
     return idle(p) && !p.offs.empty() && p.pauses < kPauses && p.hard_stop - now > kPause + expected(p);
@@ -694,8 +710,7 @@
   void pause(Pull& p) {
     ++p.pauses;
     p.bad_nodes.clear(), p.bad_sources.clear(), p.no_origin = false;
-    p.resume_at = now + kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance);
-    actions.wake(p.resume_at, {"resume:" + p.id.value});
+    wait(p, kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance));
   }
   bool is_late_alone(const Pull& p) { return owed(p) && p.overdue; }
   void wait_on(Pull& p) { p.overdue = false; }
@@ -745,6 +760,7 @@
           if (note == Note::kFilledByOrigin && is_parent(s)) origin_rate.add(now, p.size_kb, spent);
           if (is_origin(s)) origin_rate.add(now, p.size_kb, spent);
         }
+        if (note == Note::kFilledByOrigin || is_origin(s)) measure_origin(crowded, off.sent);
         // Only full notes tell whether a parent held it; a sibling gives nothing else than what it holds.
         if (is_cache_kind(s) || text("FamilyInfo.Tells", "none") == "all")
           held_share[s].add(now, note == Note::kFilled ? 1 : 0, 1);
@@ -752,11 +768,11 @@
       }
       case Result::kAbsent:
         if (!asked && note == Note::kJoined && p.looks < kLooks && p.hard_stop - now > kLookAgain + expected(p)) {
-          p.under_way = true, p.resume_at = now + kLookAgain;
-          actions.wake(p.resume_at, {"resume:" + p.id.value});
+          p.under_way = true, wait(p, kLookAgain);
         }
         if (!asked) break;
         if (is_cache_kind(s)) answered(s), held_share[s].add(now, 0, 1);
+        if (is_parent(s)) answered(s), p.no_origin = true, p.pauses = kPauses;  // it was to give what it held
         p.bad_sources.push_back(s);
         break;
       case Result::kTurnedAway:
@@ -765,8 +781,12 @@
           p.bad_sources.push_back(s), p.in_vain = true;
           // What failed behind one parent fails behind the next, and the next try only adds to it.
           if (note == Note::kOriginFailed) p.no_origin = true;
+          if (!is_cache_kind(s) && !lost) measure_origin(true, off.sent);
           measure_room(s, 0, true, off.sent);
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
+        } else if (result == Result::kTurnedAway && is_origin(c)) {
+          measure_origin(true, off.sent);
+          if (p.hard_stop - now > 2 * kPause) wait(p, kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance));
         } else if (result == Result::kTurnedAway) {
           p.bad_nodes.push_back(c);
         }
@@ -847,8 +867,8 @@
   Seconds now;
   std::vector<Grade> grades;
   int here = 0, parent_kind = -1, origin_kind = -1;
-  double flow = 0, link_part = 1, spare_fills = kSaved;
-  Seconds link_heard = kLongAgo;
+  double flow = 0, link_part = 1, origin_part = 1, spare_fills = kSaved;
+  Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, misses, false_caches, false_parents;
 
