--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -760,7 +760,7 @@
           if (note == Note::kFilledByOrigin && is_parent(s)) origin_rate.add(now, p.size_kb, spent);
           if (is_origin(s)) origin_rate.add(now, p.size_kb, spent);
         }
-        if (note == Note::kFilledByOrigin || is_origin(s)) measure_origin(crowded, off.sent);
+        if (note == Note::kFilledByOrigin || is_origin(s)) measure_origin(false, off.sent);
         // Only full notes tell whether a parent held it; a sibling gives nothing else than what it holds.
         if (is_cache_kind(s) || text("FamilyInfo.Tells", "none") == "all")
           held_share[s].add(now, note == Note::kFilled ? 1 : 0, 1);
