--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -60,8 +60,9 @@
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
-constexpr double kOriginCut = 0.85;    // x: the part of pulls that may reach the origin, after a failure there
+constexpr double kOriginCut = 0.7;     // x: the part of pulls that may reach the origin, after a failure there
 constexpr double kOriginGrow = 0.02;   // of the pulls: more of them after an answer in good time
+constexpr Seconds kOriginCalm = 3.0;   // s without a failure there: after each, twice as many may reach it
 constexpr double kOriginLeast = 0.05;  // of the pulls: fewer would not tell when the origin is back
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
@@ -497,7 +498,12 @@
   void measure_origin(bool crowded, Seconds sent) {
     if (!crowded) origin_part = std::min(1.0, origin_part + kOriginGrow);
     if (!crowded || sent <= origin_cut_at) return;
-    origin_part = std::max(kOriginLeast, kOriginCut * origin_part), origin_cut_at = now;
+    origin_part = std::max(kOriginLeast, kOriginCut * origin_part), origin_cut_at = origin_calm_at = now;
+  }
+  // The objects let through are held before long: only letting others try shows that the origin is well again.
+  void calm_origin() {
+    if (now - origin_calm_at < kOriginCalm) return;
+    origin_part = std::min(1.0, 2 * origin_part), origin_calm_at = now;
   }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
@@ -868,7 +874,7 @@
   std::vector<Grade> grades;
   int here = 0, parent_kind = -1, origin_kind = -1;
   double flow = 0, link_part = 1, origin_part = 1, spare_fills = kSaved;
-  Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo;
+  Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, misses, false_caches, false_parents;
 
@@ -964,6 +970,7 @@
                             bool is_write) {
   Mind& m = *mind_;
   m.now = now;
+  m.calm_origin();
   Pull p;
   p.id = id, p.grade = std::clamp(grade.value, 0, static_cast<int>(m.grades.size()) - 1);
   p.object = object.value, p.unit = mix(object.value) ^ mix(~static_cast<std::uint64_t>(part.value));
