--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -533,7 +533,8 @@
     for (const int n : by_hash(mix(p.object), true)) {
       if (!can_give(p, n)) continue;
       if (!is_out(n) && kept(n)) {
-        return n;
+        if (source_room(p, n)) return n;
+        continue;
       }
       if (trial == kNobody && trial_due(p, n)) return trial = n;
     }
@@ -555,7 +556,7 @@
   int choose_origin(const Pull& p) {
     if (!is_write(p) && (!link_open(p) || !origin_open(p))) return kNobody;
     for (int n = 0; n < count(); ++n)
-      if (is_origin(n) && !is_out(n) && can_give(p, n) ) return n;
+      if (is_origin(n) && !is_out(n) && can_give(p, n) && (is_write(p) || source_room(p, n))) return n;
     return kNobody;
   }
   Way origin_way(const Pull& p) {
