--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -569,7 +569,7 @@
   // Guards against fills of what is being filled already, where a pull can't join one: it asks for what the
   // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
   Way look_way(const Pull& p) {
-    if (allowed("FamilyInfo.CanJoin") || p.hot || p.in_vain || p.looks >= kLooks) return {};
+    if (p.hot || p.in_vain || p.looks >= kLooks) return {};
     if (p.looks > 0 && !p.under_way) return {};
     const Way way = choose_cache(p);
     return way && way.trial == kNobody && !cold(way.node) ? way : Way();
@@ -773,7 +773,7 @@
         break;
       }
       case Result::kAbsent:
-        if (!asked && note == Note::kJoined && p.looks < kLooks && p.hard_stop - now > kLookAgain + expected(p)) {
+        if (!asked && note == Note::kJoined && !allowed("FamilyInfo.CanJoin") && p.looks < kLooks && p.hard_stop - now > kLookAgain + expected(p)) {
           p.under_way = true, wait(p, kLookAgain);
         }
         if (!asked) break;
