Look first where the object's parent is cold; back after 1 s out counts as a restart

Cause: six of nine parents went silent together and were back within 3 s; directors that had not been told sent at full pace and two fell over; hits in progress used up the budget of the cold ones. Also meets deploys and short losses of a hub.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,7 +38,7 @@
 constexpr Seconds kTrialFirst = 0.5;   // s: first trial of a node left out; doubles up to kTrialEvery
 constexpr int kStrikesOut = 2;         // silent hand-offs in a row: one may be chance
 constexpr double kByChance = 0.01;     // more in a row where so many would still be commoner than this
-constexpr Seconds kLongOut = 3.0;      // s: after a longer absence a node may have restarted unseen
+constexpr Seconds kLongOut = 1.0;      // s: after a longer absence a node may have restarted unseen
 constexpr Seconds kSetup = 0.05;       // s: a hand-off's fixed part when times are put in proportion
 constexpr double kOverdue = 1.5;       // x expected time: a member on trial gets no more than this
 constexpr double kBudgetPart = 0.7;    // of the told limit: true capacity lies below the listed weight
@@ -570,6 +570,10 @@
   // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
   Way look_way(const Pull& p) {
     if (p.hot || p.in_vain || p.looks >= kLooks) return {};
+    if (allowed("FamilyInfo.CanJoin")) {
+      const std::vector<int> parents = by_hash(mix(p.object), true);
+      if (parents.empty() || !cold(parents[0])) return {};
+    }
     if (p.looks > 0 && !p.under_way) return {};
     const Way way = choose_cache(p);
     return way && way.trial == kNobody && !cold(way.node) ? way : Way();
