--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -474,7 +474,7 @@
         continue;
       }
       ++asked;
-      if (p.looks == 0 && !has_room(p, n)) continue;
+      if (!has_room(p, n)) continue;
       top.push_back(n);
       if (!p.hot || top.size() == 2) break;
     }
@@ -570,6 +570,10 @@
   // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
   Way look_way(const Pull& p) {
     if (p.hot || p.in_vain || p.looks >= kLooks) return {};
+    if (allowed("FamilyInfo.CanJoin")) {
+      const std::vector<int> parents = by_hash(mix(p.object), true);
+      if (parents.empty() || !cold(parents[0])) return {};
+    }
     if (p.looks > 0 && !p.under_way) return {};
     const Way way = choose_cache(p);
     return way && way.trial == kNobody && !cold(way.node) ? way : Way();
@@ -620,14 +624,13 @@
     fill.join = allowed("FamilyInfo.CanJoin");
     fill.held_only = is_parent(way.source) && !origin_open(p);
     fill.renew = grade_of(p).fresh > 0;
-    off.in_room = p.looks == 0 || way.source == way.node;  // a fill that waits takes nothing from its cache
     const bool repeatable = grade_of(p).effect == Effect::kRetriable;
     const bool call_back = allowed("Permissions.SecondCopies") || allowed("Permissions.Cancel");
     if (p.out() == 0 && !p.may_have_run) p.first_node = way.node, p.first_ran = now;
     p.offs.push_back(off);
     p.overdue = false;
     work_out[way.node] += send_time(p);
-    out_here[way.node] += off.in_room, ++out_from[way.source];
+    ++out_here[way.node], ++out_from[way.source];
     actions.hand_off(p.id, name[way.node], fill, repeatable && !call_back ? off.patience : 0);
     if (repeatable && call_back && now + off.patience < p.hard_stop)
       actions.wake(now + off.patience, {"late:" + std::to_string(p.offs.size() - 1) + ":" + p.id.value});
@@ -849,6 +852,8 @@
     Pull& p = found->second;
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
+    // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
+    if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
     if (!suspect(p, off)) return;
     if (allowed("Permissions.SecondCopies")) {
       p.overdue = true;
