--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,20 +6,20 @@
 // other, all other fills from a parent by a hash over all listed parents, each kept by the three-band rule.
 // Beside it stand:
 //   1. health     nodes that stay silent, break or can't be reached are left out and come back by trials
-//   2. patience   a further hand-off while it can still help, and none without the time for it
+//   2. patience   a look before a fill; a further hand-off while it can still help, none without time for it
 //   3. budgets    what a node that has just started may be sent over any span (caches, parents, sources)
 //   4. purges     the oldest copy that will do, never older than the last purge told; stale copies at need
-//   5. load       a pull nobody can take is paused briefly, or given its final answer at once
+//   5. load       rooms of nodes, parts of the pulls that may fill and that may reach the origin, few
+//   retries;
+//                 a pull nobody can take is given its final answer at once
 //   6. ranks      what was asked for once is dropped before what was asked for again
 #include "policy.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
-#include <deque>
-#include <limits>
 #include <random>
-#include <set>
+#include <sstream>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -44,36 +44,32 @@
 constexpr double kBudgetPart = 0.7;    // of the told limit: true capacity lies below the listed weight
 constexpr double kUnknownLink = 2.0;   // transfers: a link's size where no weight tells it, judged low
 constexpr Seconds kUnknownSend = 0.3;  // s: sending time before any size or answer has told one
-constexpr int kPauses = 2;             // such pauses for a pull: a third would be waiting for luck
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
 constexpr double kLinkFull = 2.5;      // transfers for each that fits a location's link at a fill's pace
-constexpr Seconds kReportGood = 3.0;   // s: an older report of the link tells nothing
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;  // transfers: more room after one in good time, at a node near its limit
-constexpr double kGrowFirst =
-    0.5;  // transfers: the same until its first crowd, as nothing may tell of a link
-constexpr double kNearLimit = 0.7;    // of its room in use: below it a good answer proves nothing
-constexpr double kSmallExtra = 2.5;   // x room for pulls too short to measure: much utility, little work
-constexpr double kLinkCut = 0.8;       // x: the part of pulls that may fill, at each report of a full link
-constexpr double kLinkGrow = 0.05;     // of the pulls: more of them at each report of a link with room
+constexpr double kGrow = 0.1;        // transfers: more room after one in good time, at a node near its limit
+constexpr double kGrowFirst = 0.5;   // transfers: the same until its first crowd: nothing may tell of a link
+constexpr double kNearLimit = 0.7;   // of its room in use: below it a good answer proves nothing
+constexpr double kSmallExtra = 2.5;  // x room for pulls too short to measure: much utility, little work
+constexpr double kLinkCut = 0.8;     // x: the part of pulls that may fill, at each report of a full link
+constexpr double kLinkGrow = 0.05;   // of the pulls: more of them at each report of a link with room
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
-constexpr double kOriginCut = 0.7;     // x: the part of pulls that may reach the origin, after a failure there
-constexpr double kOriginGrow = 0.02;   // of the pulls: more of them after an answer in good time
-constexpr Seconds kOriginCalm = 3.0;   // s without a failure there: after each, twice as many may reach it
+constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
+constexpr double kOriginGrow = 0.02;  // of the pulls: more of them after an answer in good time
+constexpr Seconds kOriginCalm = 3.0;  // s without a failure there: after each, twice as many may reach it
 constexpr double kOriginLeast = 0.05;  // of the pulls: fewer would not tell when the origin is back
-constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
-constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
-constexpr Seconds kPause = 0.1;       // s: before asking again where all turned a pull away
-constexpr Seconds kComeBack = 1.0;    // s: advice to a bounced client, drawn from half of it upwards
-constexpr Seconds kListAgain = 1.0;   // s: before following the list anew after a failure
-constexpr Seconds kRemember = 30.0;   // s: how long an object counts as asked for before
-constexpr Seconds kSweepEvery = 5.0;  // s: between sweeps of what is no longer needed
-constexpr Seconds kLeastAge = 1e-5;   // s: an age bound must never round to 0, which means any age
-
-constexpr int kTop = 2;  // caches by the hash that a pull may go to when others are crowded
+constexpr double kEarned = 0.2;        // further fills that one good fill earns: what retries may add at most
+constexpr double kSaved = 5;           // further fills saved up: enough for the first moments of a failure
+constexpr Seconds kPause = 0.1;        // s: about so long before a write turned away asks the origin again
+constexpr Seconds kComeBack = 1.0;     // s: advice to a bounced client, drawn from half of it upwards
+constexpr Seconds kListAgain = 1.0;    // s: before following the list anew after a failure
+constexpr Seconds kRemember = 30.0;    // s: how long an object counts as asked for before
+constexpr Seconds kSweepEvery = 5.0;   // s: between sweeps of what is no longer needed
+constexpr Seconds kLeastAge = 1e-5;    // s: an age bound must never round to 0, which means any age
+constexpr int kTop = 2;                // caches by the hash that a pull may go to when others are crowded
 
 constexpr int kNobody = -1;
 constexpr Seconds kLongAgo = -1e9;
@@ -90,17 +86,7 @@
   }
   bool heard() const { return weight > 0; }
   double mean() const { return sum / weight; }
-};
-
-// Bytes a second over about kSpan.
-struct Throughput {
-  double sum = 0;
-  Seconds last = 0;
-  double at(Seconds now) const { return sum * std::exp((last - now) / kSpan) / kSpan; }
-  void add(Seconds now, double bytes) {
-    sum = at(now) * kSpan + bytes;
-    last = now;
-  }
+  double per_second(Seconds now) const { return sum * std::exp((at - now) / kSpan) / kSpan; }
 };
 
 std::uint64_t mix(std::uint64_t x) {
@@ -125,7 +111,7 @@
 enum class Effect { kRetriable, kFingerprinted, kBinding };
 
 struct Grade {
-  Seconds contract = 0.5, hard_stop = 5, window = 0, fresh = 0, grace = 0;
+  Seconds contract = 0.5, window = 0, fresh = 0, grace = 0;
   double stretch = 0;
   Effect effect = Effect::kBinding;  // an unknown effect is treated as the strictest
   std::string group = "all";
@@ -147,10 +133,9 @@
   std::int64_t group = 0;
   Seconds arrived = 0, hard_stop = 0, resume_at = kLongAgo, first_ran = 0;
   double size_kb = 0, lot = 0;
-  bool write = false, hot = false, known = false;
+  bool write = false, hot = false, known = false, no_origin = false, in_vain = false, under_way = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
-  bool looked = false, no_origin = false, in_vain = false, under_way = false;
-  int first_node = kNobody, pauses = 0, looks = 0;
+  int first_node = kNobody, looks = 0;
   std::vector<HandOff> offs;
   std::vector<int> bad_nodes, bad_sources;
   int out() const {
@@ -187,7 +172,6 @@
       const std::string at = "RequestClasses." + std::to_string(i) + ".";
       Grade grade;
       grade.contract = number(at + "PromiseS", grade.contract);
-      grade.hard_stop = number(at + "DeadlineS", grade.hard_stop);
       grade.stretch = number(at + "AimStretch", 0);
       grade.window = number(at + "WindowS", 0);
       grade.group = text(at + "Group", "all");
@@ -207,6 +191,11 @@
     actions.wake(now + kSweepEvery, {"sweep"});
   }
 
+  Mind& at(Seconds time) {
+    now = time;
+    return *this;
+  }
+
   // --- settings ---
   std::string text(const std::string& name, const std::string& fallback) const {
     const auto found = settings.find(name);
@@ -216,17 +205,13 @@
     const std::string value = text(name, "");
     return value.empty() ? fallback : std::atof(value.c_str());
   }
-  bool allowed(const std::string& name, bool fallback = false) const {
-    return text(name, fallback ? "true" : "false") == "true";
-  }
+  bool allowed(const std::string& name) const { return text(name, "false") == "true"; }
   std::string item(const std::string& name, int place, const std::string& fallback) const {
-    std::string rest = text(name, "");
-    for (; place > 0 && !rest.empty(); --place) {
-      const auto comma = rest.find(',');
-      rest = comma == std::string::npos ? "" : rest.substr(comma + 1);
-    }
-    rest = rest.substr(0, rest.find(','));
-    return rest.empty() ? fallback : rest;
+    std::istringstream items(text(name, ""));
+    std::string found;
+    for (; place >= 0; --place)
+      if (!std::getline(items, found, ',')) return fallback;
+    return found.empty() ? fallback : found;
   }
 
   // --- nodes ---
@@ -235,6 +220,10 @@
   int count() const { return static_cast<int>(name.size()); }
   bool is_cache_kind(int n) const { return !is_parent(n) && !is_origin(n); }
   bool is_cache(int n) const { return is_cache_kind(n) && zone[n] == here; }
+  int origin() const {
+    const auto found = std::find(kind.begin(), kind.end(), origin_kind);
+    return found == kind.end() ? kNobody : static_cast<int>(found - kind.begin());
+  }
   bool is_out(int n) const { return out_since[n] > kLongAgo; }
 
   int index_of(const NodeId& id) {
@@ -323,12 +312,10 @@
     const Seconds span = number("Contract.FallS", 3);
     const double limit =
         is_parent(n) ? number("FamilyInfo.ParentLimitFactor", 2) : number("Contract.FallMultiple", 2);
-    const double directors =
-        is_parent(n) ? number("Balancers", 4) : std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str());
     double used = 0;
     std::erase_if(ledger[n], [&](const auto& entry) { return entry.first <= now - span; });
     for (const auto& entry : ledger[n]) used += entry.second;
-    return used + work <= kBudgetPart * limit * present_capacity(n) * span / std::max(directors, 1.0);
+    return used + work <= kBudgetPart * limit * present_capacity(n) * span / sharers(n);
   }
   double charge(int n, double work) {
     if (!cold(n)) return 0;
@@ -337,29 +324,19 @@
   }
 
   // --- load: guards against a crowd that makes everybody late ---
-  // ------------------------------------------------ // How many of our transfers a node may hold at once, so
-  // that each ends well within its contract time. It starts from the listed weight and follows what is
-  // measured, whatever slows the node down.
+  // How many of our transfers a node may hold at once, so that each ends well within its contract time. It
+  // starts from the listed weight and follows what is measured, whatever slows the node down.
   double first_room(int n) const { return std::max(1.0, kCrowd * full_capacity(n) / sharers(n)); }
   double sharers(int n) const {
-    const double all = number("Balancers", 4);
-    return is_cache_kind(n) ? std::max(1.0, std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str()))
-                            : all;
+    return std::max(1.0, is_cache_kind(n) ? std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str())
+                                          : number("Balancers", 4));
   }
   double extra(const Pull& p) { return send_time(p) < kMeasurable ? kSmallExtra : 1; }
-  bool has_room(const Pull& p, int n) {
-    if (room[n] <= 0) room[n] = first_room(n);
-    return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p);
-  }
+  bool has_room(const Pull& p, int n) { return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p); }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
-    if (room[n] <= 0) room[n] = first_room(n);
-    if (crowded) {
-      if (sent <= cut_at[n]) return;  // it was out already when the room was last cut
-      cut_at[n] = now;
-      room[n] = std::max(1.0, kCut * room[n]);
-    } else if (in_use >= kNearLimit * room[n]) {
-      room[n] += cut_at[n] == kLongAgo ? kGrowFirst : kGrow;
-    }
+    if (!crowded && in_use >= kNearLimit * room[n]) room[n] += cut_at[n] == kLongAgo ? kGrowFirst : kGrow;
+    if (!crowded || sent <= cut_at[n]) return;  // it was out already when the room was last cut
+    room[n] = std::max(1.0, kCut * room[n]), cut_at[n] = now;
   }
 
   // --- health: guards against nodes that are silent, broken or cut off ---
@@ -393,8 +370,7 @@
   void started(int n, Seconds at) {
     if (at <= launched[n]) return;
     launched[n] = at;
-    fill_rate[n] = held_share[n] = Average();
-    serve_rate[n] = Throughput();
+    fill_rate[n] = held_share[n] = serve_rate[n] = Average();
   }
 
   // --- figures of a pull ---
@@ -430,8 +406,10 @@
     if (order.empty()) return false;
     double sum = 0, caches = 0;
     for (int n = 0; n < count(); ++n)
-      if (is_cache(n) && serve_rate[n].at(now) > 0) sum += serve_rate[n].at(now), ++caches;
-    const double home = serve_rate[order[0]].at(now), rate = home > 0 ? home : caches > 0 ? sum / caches : 0;
+      if (is_cache(n) && serve_rate[n].heard()) sum += serve_rate[n].per_second(now), ++caches;
+    const double home = serve_rate[order[0]].per_second(now), rate = home > 0     ? home
+                                                                     : caches > 0 ? sum / caches
+                                                                                  : 0;
     return rate > 0 && bytes / kHotSpan > kHotShare * rate;
   }
 
@@ -458,7 +436,6 @@
   bool trial_due(const Pull& p, int n) {
     return grade_of(p).effect == Effect::kRetriable && p.offs.empty() && now >= next_trial[n];
   }
-  double load(int n) const { return work_out[n] / hash_weight(n); }
 
   // The cache for a pull: its home, or the next by the hash that can take it; of the top two for a spread
   // object the one with less of our work in hand. One that is left out gets a pull now and then as a trial.
@@ -479,35 +456,36 @@
       if (!p.hot || top.size() == 2) break;
     }
     if (top.empty()) return {};
-    const int n = top.size() == 2 && load(top[1]) < load(top[0]) ? top[1] : top[0];
+    const auto load = [&](int place) { return work_out[top[place]] / hash_weight(top[place]); };
+    const int n = top.size() == 2 && load(1) < load(0) ? top[1] : top[0];
     return {n, n, kNobody};
   }
 
   bool can_give(const Pull& p, int n) {
-    // Guards against retries that keep a jam alive after its cause has gone: fills that failed are tried again
-    // only in proportion to those that come in, whatever the number of directors.
+    // Guards against retries that keep a jam alive after its cause has gone: fills that failed are tried
+    // again only in proportion to those that come in, whatever the number of directors.
     if (p.in_vain && !is_cache_kind(n) && spare_fills < 1) return false;
     return running[n] && !p.no_origin && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
   }
-  // Guards against a location's link that all its directors fill at once, each within its own rooms: as the
-  // caches report it fuller, a smaller part of the pulls may start a fill from outside, by lot.
-  bool link_open(const Pull& p) { return now - link_heard > kReportGood || p.lot <= link_part; }
-  // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail or
-  // are late there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
+  // Guards against a location's link that all its directors fill at once, each within its own rooms: at each
+  // report that it is full, a smaller part of the pulls may start a fill from outside.
+  bool link_open(const Pull& p) { return p.lot <= link_part; }
+  // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail
+  // there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
   bool origin_open(const Pull& p) { return is_write(p) || p.lot <= origin_part; }
   void measure_origin(bool crowded, Seconds sent) {
     if (!crowded) origin_part = std::min(1.0, origin_part + kOriginGrow);
     if (!crowded || sent <= origin_cut_at) return;
     origin_part = std::max(kOriginLeast, kOriginCut * origin_part), origin_cut_at = origin_calm_at = now;
   }
-  // The objects let through are held before long: only letting others try shows that the origin is well again.
+  // The objects let through are held before long: only if others try is it seen that the origin is well
+  // again.
   void calm_origin() {
     if (now - origin_calm_at < kOriginCalm) return;
     origin_part = std::min(1.0, 2 * origin_part), origin_calm_at = now;
   }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
-    if (room[n] <= 0) room[n] = first_room(n);
     const double straight = is_cache_kind(n) ? 0 : out_here[n];
     return straight + out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n] * extra(p);
   }
@@ -555,9 +533,8 @@
   }
   int choose_origin(const Pull& p) {
     if (!is_write(p) && (!link_open(p) || !origin_open(p))) return kNobody;
-    for (int n = 0; n < count(); ++n)
-      if (is_origin(n) && !is_out(n) && can_give(p, n) && (is_write(p) || source_room(p, n))) return n;
-    return kNobody;
+    const int n = origin();
+    return n != kNobody && can_give(p, n) && (is_write(p) || source_room(p, n)) ? n : kNobody;
   }
   Way origin_way(const Pull& p) {
     Way way = any_parent_kept(p) ? Way() : choose_cache(p);
@@ -565,7 +542,7 @@
     return way;
   }
   // While no source can take a fill, what the home holds can still be had.
-  Way held_way(const Pull& p) { return p.looked ? Way() : choose_cache(p); }
+  Way held_way(const Pull& p) { return p.looks > 0 ? Way() : choose_cache(p); }
   // Guards against fills of what is being filled already, where a pull can't join one: it asks for what the
   // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
   Way look_way(const Pull& p) {
@@ -580,15 +557,15 @@
   }
   // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
   Way straight_way(const Pull& p) {
-    return {};
+    if (!allowed("FamilyInfo.Direct")) return {};
+    if (choose_cache(p)) return {};
     Way way;
     way.node = choose_parent(p, way.trial);
     if (way.node == kNobody) way.node = choose_origin(p);
     way.source = way.node;
     if (way.node == kNobody || !may_go_to(p, way.node)) return {};
     // What the parent lacks it fetches as for any other fill.
-    for (int n = 0; n < count() && is_parent(way.node); ++n)
-      if (is_origin(n) && can_give(p, n)) way.source = n;
+    if (is_parent(way.node) && origin() != kNobody && can_give(p, origin())) way.source = origin();
     return way;
   }
   // A write is never kept: no hierarchy can serve it. It takes the way with the fewest parts that can fail.
@@ -616,13 +593,15 @@
     const Seconds wait = expected(p), in_hand = contract_time(p) - (now - p.arrived) - wait;
     // As long as a further hand-off could still make the contract time; less for a member on trial.
     off.patience = off.trial ? kOverdue * wait : std::max(kOverdue * wait, in_hand);
-    FillTerms fill;
-    fill.source = name[way.source];
-    fill.oldest_copy = oldest_copy(p);
-    fill.rank = is_write(p) ? 0 : p.hot ? 3 : p.known ? 2 : 1;
-    fill.join = allowed("FamilyInfo.CanJoin");
-    fill.held_only = is_parent(way.source) && !origin_open(p);
-    fill.renew = grade_of(p).fresh > 0;
+    const FillTerms fill = {.source = name[way.source],
+                            .rank = is_write(p) ? 0
+                                    : p.hot     ? 3
+                                    : p.known   ? 2
+                                                : 1,
+                            .oldest_copy = oldest_copy(p),
+                            .join = allowed("FamilyInfo.CanJoin"),
+                            .held_only = is_parent(way.source) && !origin_open(p),
+                            .renew = grade_of(p).fresh > 0};
     const bool repeatable = grade_of(p).effect == Effect::kRetriable;
     const bool call_back = allowed("Permissions.SecondCopies") || allowed("Permissions.Cancel");
     if (p.out() == 0 && !p.may_have_run) p.first_node = way.node, p.first_ran = now;
@@ -694,12 +673,9 @@
     hand_off(p, (this->*way)(p));
   }
   bool has_write_way(const Pull& p) { return ready(p) && is_write(p) && write_way(p); }
-  void take_held_way(Pull& p) {
-    take<&Mind::held_way>(p);
-    p.looked = true;
-  }
-  void take_look_way(Pull& p) {
-    take<&Mind::look_way>(p);
+  template <Way (Mind::*way)(const Pull&)>
+  void look(Pull& p) {
+    take<way>(p);
     ++p.looks, p.under_way = false;
   }
   void take_stale_way(Pull& p) {
@@ -712,30 +688,16 @@
     p.resume_at = now + pause;
     actions.wake(p.resume_at, {"resume:" + p.id.value});
   }
-  // Where others only turned the pull away, they are asked once more after a moment.
-  bool may_pause(const Pull& p) {
-    return idle(p) && !p.offs.empty() && p.pauses < kPauses && p.hard_stop - now > kPause + expected(p);
-  }
-  void pause(Pull& p) {
-    ++p.pauses;
-    p.bad_nodes.clear(), p.bad_sources.clear(), p.no_origin = false;
-    wait(p, kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance));
-  }
   bool is_late_alone(const Pull& p) { return owed(p) && p.overdue; }
   void wait_on(Pull& p) { p.overdue = false; }
 
   void go_through_rules() {
     for (std::size_t i = 0; i < touched.size(); ++i) {
-      for (bool fired = true; fired;) {
-        fired = false;
-        for (const Rule& rule : kRules) {
-          const auto found = pulls.find(touched[i]);
-          if (found == pulls.end()) break;
-          if (!(this->*rule.when)(found->second)) continue;
-          (this->*rule.then)(found->second);
-          fired = true;
-          break;
-        }
+      for (Pull* p = held(touched[i]); p; p = held(touched[i])) {
+        const auto fires = [&](const Rule& rule) { return (this->*rule.when)(*p); };
+        const auto rule = std::find_if(kRules.begin(), kRules.end(), fires);
+        if (rule == kRules.end()) break;
+        (this->*rule->then)(*p);
       }
     }
     touched.clear();
@@ -757,31 +719,33 @@
         const bool crowded = spent - send_time(p) > kTight * slack;
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
-        serve_rate[c].add(now, p.size_kb);
+        serve_rate[c].add(now, p.size_kb, 1);
         if (measurable && !filled) measure_room(c, out_here[c] + 1, crowded, off.sent);
-        if (asked && !filled) settle(s, off);
+        // A fill that never took place is taken off the source's budget, at the time it was charged: a later
+        // entry would outlive the charge and let more through than the budget holds.
+        if (asked && !filled && off.source_charge > 0) ledger[s].emplace_back(off.sent, -off.source_charge);
         if (!asked || !filled) break;
+        const bool by_origin = is_origin(s) || (is_parent(s) && note == Note::kFilledByOrigin);
         answered(s), filled_at[s] = now;
         if (!crowded) spare_fills = std::min(kSaved, spare_fills + kEarned);
         if (measurable) {
           measure_room(s, (out_from[s] + 1) * misses.mean(), crowded, off.sent);
           fill_rate[s].add(now, p.size_kb, spent);
-          if (note == Note::kFilledByOrigin && is_parent(s)) origin_rate.add(now, p.size_kb, spent);
-          if (is_origin(s)) origin_rate.add(now, p.size_kb, spent);
+          if (by_origin) origin_rate.add(now, p.size_kb, spent);
         }
-        if (note == Note::kFilledByOrigin || is_origin(s)) measure_origin(false, off.sent);
+        if (by_origin) measure_origin(false, off.sent);
         // Only full notes tell whether a parent held it; a sibling gives nothing else than what it holds.
         if (is_cache_kind(s) || text("FamilyInfo.Tells", "none") == "all")
           held_share[s].add(now, note == Note::kFilled ? 1 : 0, 1);
         break;
       }
       case Result::kAbsent:
-        if (!asked && note == Note::kJoined && !allowed("FamilyInfo.CanJoin") && p.looks < kLooks && p.hard_stop - now > kLookAgain + expected(p)) {
+        if (!asked && note == Note::kJoined && !allowed("FamilyInfo.CanJoin") && p.looks < kLooks &&
+            p.hard_stop - now > kLookAgain + expected(p))
           p.under_way = true, wait(p, kLookAgain);
-        }
         if (!asked) break;
         if (is_cache_kind(s)) answered(s), held_share[s].add(now, 0, 1);
-        if (is_parent(s)) answered(s), p.no_origin = true, p.pauses = kPauses;  // it was to give what it held
+        if (is_parent(s)) answered(s), p.no_origin = true;  // it was to give what it held
         p.bad_sources.push_back(s);
         break;
       case Result::kTurnedAway:
@@ -795,7 +759,8 @@
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
         } else if (result == Result::kTurnedAway && is_origin(c)) {
           measure_origin(true, off.sent);
-          if (p.hard_stop - now > 2 * kPause) wait(p, kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance));
+          if (p.hard_stop - now > 2 * kPause)
+            wait(p, kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance));
         } else if (result == Result::kTurnedAway) {
           p.bad_nodes.push_back(c);
         }
@@ -810,8 +775,7 @@
       case Result::kTimedOut:
         suspect(p, off);
         break;
-      case Result::kCancelled:
-      case Result::kNotSent:
+      default:
         break;
     }
   }
@@ -823,11 +787,6 @@
     link_heard = now;
     link_part = link->second > kLinkFull ? kLinkCut * link_part : std::min(1.0, link_part + kLinkGrow);
   }
-  // A fill that never took place is taken off the source's budget, at the time it was charged: a later entry
-  // would outlive the charge and let more through than the budget holds.
-  void settle(int n, const HandOff& off) {
-    if (off.source_charge > 0) ledger[n].emplace_back(off.sent, -off.source_charge);
-  }
 
   // Who is to blame for a hand-off that stays out: the cache if nobody has heard of it since, else the source
   // if nothing has come from it since. If both have been heard of, they are slow, and no other would be
@@ -845,10 +804,13 @@
     p.bad_sources.push_back(off.source), p.in_vain = true;
     return true;
   }
-  void late(const PullId& id, std::size_t place) {
+  Pull* held(const PullId& id) {
     const auto found = pulls.find(id);
-    if (found == pulls.end() || place >= found->second.offs.size()) return;
-    Pull& p = found->second;
+    return found == pulls.end() ? nullptr : &found->second;
+  }
+  void late(const PullId& id, std::size_t place) {
+    if (!held(id) || place >= held(id)->offs.size()) return;
+    Pull& p = *held(id);
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
@@ -863,11 +825,15 @@
     touched.push_back(id);
   }
 
+  void purged(auto& purges, auto key, Seconds age) {
+    Seconds& at = purges.try_emplace(key, now - age).first->second;
+    at = std::max(at, now - age);
+  }
   void sweep() {
     std::erase_if(units, [&](const auto& entry) { return now - entry.second.at > kRemember; });
     const Seconds done = number("FamilyInfo.PurgeDoneS", 10) + 1;
-    std::erase_if(object_purges, [&](const auto& entry) { return now - entry.second > done; });
-    std::erase_if(group_purges, [&](const auto& entry) { return now - entry.second > done; });
+    const auto over = [&](const auto& entry) { return now - entry.second > done; };
+    std::erase_if(object_purges, over), std::erase_if(group_purges, over);
     actions.wake(now + kSweepEvery, {"sweep"});
   }
 
@@ -886,17 +852,11 @@
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
   std::vector<std::uint64_t> hash;
-  std::vector<int> zone, kind, cell;
+  std::vector<int> zone, kind, cell, strikes, out_here, out_from;
   std::vector<char> running, listed, fresh;
-  std::vector<double> weight;
-  std::vector<Seconds> launched;
-  std::vector<Average> fill_rate, held_share;
-  std::vector<Throughput> serve_rate;
-  std::vector<int> strikes;
-  std::vector<Seconds> out_since, next_trial, back_off, heard_at, filled_at;
-  std::vector<double> work_out, room;
-  std::vector<int> out_here, out_from;
-  std::vector<Seconds> cut_at;
+  std::vector<double> weight, work_out, room;
+  std::vector<Seconds> launched, out_since, next_trial, back_off, heard_at, filled_at, cut_at;
+  std::vector<Average> fill_rate, held_share, serve_rate;
   std::vector<std::vector<std::pair<Seconds, double>>> ledger;
 
   std::map<PullId, Pull> pulls;
@@ -912,33 +872,26 @@
     {"its time is up: forfeit", &Mind::time_is_up, &Mind::forfeit},
     {"no further hand-off may or can be made: give it up", &Mind::is_spent, &Mind::give_up},
     {"a write: the shortest way to the origin", &Mind::has_write_way, &Mind::take<&Mind::write_way>},
-    {"a fill may be under way that can't be joined: home, what it holds", &Mind::can<&Mind::look_way>,
-     &Mind::take_look_way},
-    {"spread: one of the top two, filled from the other", &Mind::can<&Mind::spread_way>,
-     &Mind::take<&Mind::spread_way>},
-    {"ordinary: home, filled from the first kept parent", &Mind::can<&Mind::parent_way>,
-     &Mind::take<&Mind::parent_way>},
-    {"no parent kept: home, filled from the origin", &Mind::can<&Mind::origin_way>,
-     &Mind::take<&Mind::origin_way>},
-    {"no source can take it: home, what it holds", &Mind::can<&Mind::held_way>, &Mind::take_held_way},
-    {"no cache can take it: straight to a parent", &Mind::can<&Mind::straight_way>,
-     &Mind::take<&Mind::straight_way>},
+    {"look first: home, what it holds", &Mind::can<&Mind::look_way>, &Mind::look<&Mind::look_way>},
+    {"spread: filled from the other", &Mind::can<&Mind::spread_way>, &Mind::take<&Mind::spread_way>},
+    {"ordinary: a kept parent", &Mind::can<&Mind::parent_way>, &Mind::take<&Mind::parent_way>},
+    {"no parent kept: the origin", &Mind::can<&Mind::origin_way>, &Mind::take<&Mind::origin_way>},
+    {"no source: what home holds", &Mind::can<&Mind::held_way>, &Mind::look<&Mind::held_way>},
+    {"no cache: straight", &Mind::can<&Mind::straight_way>, &Mind::take<&Mind::straight_way>},
     {"nothing fresh to be had: a stale copy", &Mind::can<&Mind::stale_way>, &Mind::take_stale_way},
     {"late, and nobody else to ask: wait on", &Mind::is_late_alone, &Mind::wait_on},
-    {"turned away by all: ask again in a moment", &Mind::may_pause, &Mind::pause},
     {"nobody to ask: give it up", &Mind::idle, &Mind::give_up},
 };
 
-// --- inputs
-// -----------------------------------------------------------------------------------------------------
+// --- inputs ---
 
 Director::Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions)
     : mind_(std::make_unique<Mind>(now, std::move(settings), seed, actions)) {}
 Director::~Director() = default;
 
 void Director::list_starts(Seconds now, ListScope scope) {
-  Mind& m = *mind_;
-  m.now = now, m.scope = scope;
+  Mind& m = mind_->at(now);
+  m.scope = scope;
   if (scope == ListScope::kFailed) m.actions.wake(now + kListAgain, {"list"});
   if (scope == ListScope::kFull || scope == ListScope::kCached)
     std::fill(m.fresh.begin(), m.fresh.end(), false);
@@ -946,23 +899,19 @@
 
 void Director::list_entry(Seconds now, const NodeId& node, ZoneIndex zone, KindIndex kind, CellIndex cell,
                           Readiness readiness, double weight, Seconds launched) {
-  Mind& m = *mind_;
-  m.now = now;
+  Mind& m = mind_->at(now);
   const int n = m.index_of(node);
   const bool newly = !m.listed[n] && m.scope == ListScope::kChanges;
   m.zone[n] = zone.value, m.kind[n] = kind.value, m.cell[n] = cell.value, m.weight[n] = weight;
   m.listed[n] = m.fresh[n] = readiness != Readiness::kGone;
   m.running[n] = readiness == Readiness::kRunning;
+  if (m.room[n] <= 0) m.room[n] = m.first_room(n);
   // What comes up without a start time may have started this moment.
-  if (launched > 0)
-    m.started(n, launched);
-  else if (newly && m.running[n])
-    m.started(n, now);
+  if (launched > 0 || (newly && m.running[n])) m.started(n, launched > 0 ? launched : now);
 }
 
 void Director::list_ends(Seconds now) {
-  Mind& m = *mind_;
-  m.now = now;
+  Mind& m = mind_->at(now);
   if (m.scope == ListScope::kFull || m.scope == ListScope::kCached) {
     for (int n = 0; n < m.count(); ++n)
       if (!m.fresh[n]) m.listed[n] = m.running[n] = false;  // rule 3: missing from a full list is gone
@@ -973,8 +922,7 @@
 void Director::pull_arrived(Seconds now, const PullId& id, GradeIndex grade, TenantIndex, ObjectId object,
                             PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool,
                             bool is_write) {
-  Mind& m = *mind_;
-  m.now = now;
+  Mind& m = mind_->at(now);
   m.calm_origin();
   Pull p;
   p.id = id, p.grade = std::clamp(grade.value, 0, static_cast<int>(m.grades.size()) - 1);
@@ -997,31 +945,25 @@
 }
 
 void Director::pull_dropped(Seconds now, const PullId& id) {
-  Mind& m = *mind_;
-  m.now = now;
-  const auto found = m.pulls.find(id);
-  if (found == m.pulls.end()) return;
-  found->second.over = true;
+  Mind& m = mind_->at(now);
+  if (!m.held(id)) return;
+  m.held(id)->over = true;
   m.touched.push_back(id);
   m.go_through_rules();
 }
 
 void Director::hand_off_begun(Seconds now, const PullId& id, HandOffNumber) {
-  Mind& m = *mind_;
-  m.now = now;
-  const auto found = m.pulls.find(id);
-  if (found != m.pulls.end()) found->second.bound = found->second.may_have_run = true;
+  Mind& m = mind_->at(now);
+  if (Pull* p = m.held(id)) p->bound = p->may_have_run = true;
 }
 
 void Director::hand_off_ended(Seconds now, const PullId& id, HandOffNumber number, const NodeId& node,
                               Result result, Note note, Seconds waited, Seconds spent,
                               const LoadReport& report, bool pull_over) {
-  Mind& m = *mind_;
-  m.now = now;
+  Mind& m = mind_->at(now);
   m.hear(node, report);
-  const auto found = m.pulls.find(id);
-  if (found == m.pulls.end()) return;
-  Pull& p = found->second;
+  if (!m.held(id)) return;
+  Pull& p = *m.held(id);
   p.over = p.over || pull_over;
   const auto place = static_cast<std::size_t>(number.value);
   if (number.value >= 0 && place < p.offs.size() && p.offs[place].out) {
@@ -1039,33 +981,26 @@
 }
 
 void Director::probe_ended(Seconds now, const NodeId& node, Result, const LoadReport& report) {
-  mind_->now = now;
-  mind_->hear(node, report);
+  mind_->at(now).hear(node, report);
 }
 
 // The moment of a purge is kept, not its age: bounds are taken from it when a pull is sent.
 void Director::object_purged(Seconds now, ObjectId object, Seconds age) {
-  mind_->now = now;
-  Seconds& at = mind_->object_purges.try_emplace(object.value, now - age).first->second;
-  at = std::max(at, now - age);
+  mind_->at(now).purged(mind_->object_purges, object.value, age);
 }
 void Director::group_purged(Seconds now, GroupId group, Seconds age) {
-  mind_->now = now;
-  Seconds& at = mind_->group_purges.try_emplace(group.value, now - age).first->second;
-  at = std::max(at, now - age);
+  mind_->at(now).purged(mind_->group_purges, group.value, age);
 }
 
 void Director::woken(Seconds now, const TimerToken& token) {
-  Mind& m = *mind_;
-  m.now = now;
+  Mind& m = mind_->at(now);
   const std::string& words = token.value;
   if (words == "sweep") m.sweep();
   if (words == "list") m.actions.follow_list();
   if (words.starts_with("resume:")) {
-    const auto found = m.pulls.find({words.substr(7)});
     // Guards against a clock that rounds: a wake may come a hair before the time that was asked for, and no
     // second one would follow; the pull would be held until its hard stop.
-    if (found != m.pulls.end()) found->second.resume_at = kLongAgo;
+    if (Pull* p = m.held({words.substr(7)})) p->resume_at = kLongAgo;
     m.touched.push_back({words.substr(7)});
   }
   if (words.starts_with("late:")) {
