--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -191,10 +191,7 @@
     actions.wake(now + kSweepEvery, {"sweep"});
   }
 
-  Mind& at(Seconds time) {
-    now = time;
-    return *this;
-  }
+  Mind& at(Seconds time) { return now = time, *this; }
 
   // --- settings ---
   std::string text(const std::string& name, const std::string& fallback) const {
@@ -486,11 +483,11 @@
   }
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
-    const double straight = is_cache_kind(n) ? 0 : out_here[n];
-    return straight + out_from[n] * (misses.heard() ? misses.mean() : 1) < room[n] * extra(p);
+    return (is_cache_kind(n) ? 0 : out_here[n]) + out_from[n] * (misses.heard() ? misses.mean() : 1) <
+           room[n] * extra(p);
   }
 
-  // The design's companion: a spread object is filled from the other cache of the hash's top two.
+  // The design's companion: a spread object is filled from the other of the hash's top two.
   Way spread_way(const Pull& p) {
     if (!p.hot || text("FamilyInfo.PeersFill", "none") == "none") return {};
     const Way way = choose_cache(p);
@@ -715,8 +712,7 @@
       case Result::kCompleted: {
         const bool filled = note == Note::kFilled || note == Note::kFilledByOrigin;
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
-        const Seconds slack = contract_time(p) - send_time(p);
-        const bool crowded = spent - send_time(p) > kTight * slack;
+        const bool crowded = spent - send_time(p) > kTight * (contract_time(p) - send_time(p));
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         serve_rate[c].add(now, p.size_kb, 1);
@@ -788,9 +784,8 @@
     link_part = link->second > kLinkFull ? kLinkCut * link_part : std::min(1.0, link_part + kLinkGrow);
   }
 
-  // Who is to blame for a hand-off that stays out: the cache if nobody has heard of it since, else the source
-  // if nothing has come from it since. If both have been heard of, they are slow, and no other would be
-  // faster.
+  // Who is to blame for a hand-off that stays out: the cache if not heard of since, else the source if
+  // nothing has come from it since. If both have been heard of, they are slow, and no other would be faster.
   bool suspect(Pull& p, const HandOff& off) {
     if (heard_at[off.node] < off.sent) {
       strike(off.node, 1);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -41,6 +41,7 @@
                          {"Contract.FallMultiple", "2"},
                          {"Contract.FallS", "2"},
                          {"Contract.StartCapacity", "0.2"},
+                         {"FamilyInfo.CanJoin", "true"},
                          {"FamilyInfo.GoodForS", "0,8,0,0"},
                          {"FamilyInfo.GoesThrough", "false,false,true,false"},
                          {"FamilyInfo.HubByZone", "0,1,0,1"},
@@ -119,11 +120,12 @@
 
   void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override {
     node_of[pull.value].push_back(node.value);
-    source_of[pull.value] = fill.source.value;
+    source_of[pull.value] = fill.source.value, held_only_of[pull.value] = fill.held_only;
     std::string line = pull.value + ": hand off to " + node.value;
     line += fill.source == node ? ", no fill" : ", fill from " + fill.source.value;
     line += ", rank " + std::to_string(fill.rank);
     if (fill.oldest_copy > 0) line += ", at most " + text(fill.oldest_copy) + " s old";
+    if (fill.held_only) line += ", held only";
     if (fill.join) line += ", may join";
     if (fill.renew) line += ", renew";
     if (time_out > 0) line += ", time-out " + text(time_out) + " s";
@@ -151,6 +153,7 @@
   std::unique_ptr<Director> director;
   std::map<std::string, std::vector<std::string>> node_of;
   std::map<std::string, std::string> source_of;
+  std::map<std::string, bool> held_only_of;
   std::multimap<Seconds, TimerToken> timers;
   std::string trace;
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -40,7 +40,7 @@
 }  // namespace
 
 TEST_CASE("home and parent") {
-  Rig rig(Settings{{"FamilyInfo.CanJoin", "true"}});
+  Rig rig;
   rig.list(ListScope::kCached, kAll);
   for (int object = 1; object <= 3; ++object) rig.pull(named("p", object), object);
   rig.say(
@@ -279,9 +279,13 @@
       const std::string id = named("p", i);
       rig.pull(id, i);
       for (std::size_t n = 0; n < rig.node_of[id].size(); ++n) {
+        const bool look = rig.source_of[id] == rig.node_of[id][n];
         const bool meant = rig.node_of[id][n] == node || rig.source_of[id] == node;
         if (meant) work += 0.4;
-        rig.ends(id, static_cast<int>(n), Result::kCompleted, Note::kFilled, 0.02);
+        if (look)
+          rig.ends(id, static_cast<int>(n), Result::kAbsent, Note::kNone, 0.0);
+        else
+          rig.ends(id, static_cast<int>(n), Result::kCompleted, Note::kFilled, 0.02);
       }
     }
     return "work sent to " + node + " in 1.2 s: " + Rig::text(work) + "\n";
@@ -299,6 +303,98 @@
                                 most_in_two_seconds("P1", parent));
 }
 
+TEST_CASE("no fill is started for what is under way already, where none can be joined") {
+  Rig rig(Settings{{"FamilyInfo.CanJoin", "false"}});
+  rig.list(ListScope::kCached, kAll);
+  rig.pull("p1", 1);
+  rig.say("nothing there: a fill");
+  rig.ends("p1", 0, Result::kAbsent);
+  rig.pull("p2", 1);
+  rig.say("one is under way: another look in a moment, and it is there");
+  rig.ends("p2", 0, Result::kAbsent, Note::kJoined);
+  rig.run_until(rig.now + 0.2);
+  rig.ends("p2", 1, Result::kCompleted, Note::kHit, 0.1);
+  rig.pull("p3", 2);
+  rig.say("too late for another look: it is not held until its hard stop");
+  rig.after(4.85);
+  rig.ends("p3", 0, Result::kAbsent, Note::kJoined);
+  check_trace("look_first", rig.taken());
+}
+
+TEST_CASE("fills that failed are tried again in proportion to those that come in") {
+  Rig rig;
+  rig.list(ListScope::kCached, kAll);
+  std::string line;
+  const auto refused = [&](int first) {
+    line += "hand-offs of pulls whose fills are refused:";
+    for (int i = first; i < first + 8; ++i) {
+      const std::string id = named("p", i);
+      rig.pull(id, static_cast<std::uint64_t>(i));
+      for (std::size_t n = 0; n < rig.node_of[id].size(); ++n)
+        rig.ends(id, static_cast<int>(n), Result::kTurnedAway, Note::kSourceRefused);
+      line += " " + std::to_string(rig.node_of[id].size());
+    }
+    line += "\n";
+  };
+  refused(0);
+  feed(rig, {{"P1", {1000, Note::kFilled}}, {"P2", {1000, Note::kFilled}}, {"P3", {1000, Note::kFilled}}}, 15,
+       1000);
+  line += "after 15 good fills, ";
+  refused(100);
+  check_trace("retry_budget", line);
+}
+
+TEST_CASE("as the origin fails, parents give what they hold to more and more of the pulls") {
+  Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
+  rig.list(ListScope::kCached, kAll);
+  std::string line;
+  const auto fetching = [&](const std::string& what, int first, Result result, Note note) {
+    int fetches = 0;
+    for (int i = first; i < first + 40; ++i) {
+      const std::string id = named("p", i);
+      rig.pull(id, static_cast<std::uint64_t>(i));
+      fetches += rig.held_only_of[id] ? 0 : 1;
+      rig.ends(id, 0, result, note, 0.05);
+      if (rig.node_of[id].size() > 1) rig.ends(id, 1, Result::kAbsent, Note::kNone, 0.0);
+    }
+    line += what + ": parents may fetch for " + std::to_string(fetches) + " of 40\n";
+  };
+  fetching("the origin fails", 0, Result::kTurnedAway, Note::kOriginFailed);
+  fetching("still", 100, Result::kTurnedAway, Note::kOriginFailed);
+  rig.after(4);
+  fetching("a calm while later, all goes well", 200, Result::kCompleted, Note::kFilledByOrigin);
+  fetching("and on", 300, Result::kCompleted, Note::kFilledByOrigin);
+  rig.say("a write that the origin turns away asks again after a pause");
+  rig.pull("w", 900, 2);
+  rig.ends("w", 0, Result::kTurnedAway);
+  rig.run_until(rig.now + 0.2);
+  check_trace("origin_part", line + rig.trace.substr(rig.trace.find("-- a write")));
+}
+
+TEST_CASE("a full link thins out fills alike for an object's repeats; a late fill keeps no hit out") {
+  Rig rig;
+  rig.list(ListScope::kCached, kAll);
+  rig.pull("p0", 1);
+  for (int i = 0; i < 6; ++i) {
+    rig.after(1);
+    rig.director->hand_off_ended(rig.now, {"none"}, {0}, {"c1"}, Result::kCompleted, Note::kHit, 0, 0.1,
+                                 {{"x1", 9.0}}, true);
+  }
+  for (int object = 1; object <= 8; ++object)
+    for (int again = 0; again < 2; ++again) rig.pull(named("o", object) + named("-", again), object);
+  rig.say("c1 alone, its room taken by fills that wait on their source");
+  Rig late(Settings{{"Permissions.SecondCopies", "false"}});
+  late.list(ListScope::kCached, "c1 P1 P2 P3 O");
+  int filled = 0;
+  for (int i = 0; i < 30; ++i) late.pull(named("f", i), static_cast<std::uint64_t>(i));
+  for (const auto& [id, nodes] : late.node_of) filled += !nodes.empty();
+  late.ends("f0", 0, Result::kCompleted, Note::kHit, 0.1);
+  late.run_until(late.now + 2.5);
+  late.taken();
+  late.pull("next", 77);
+  check_trace("full_link", rig.taken() + std::to_string(filled) + " are out, and late: " + late.taken());
+}
+
 TEST_CASE("rule 5: purges") {
   Rig rig;
   rig.list(ListScope::kCached, kAll);
