--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -53,7 +53,7 @@
 constexpr double kNearLimit = 0.7;   // of its room in use: below it a good answer proves nothing
 constexpr double kSmallExtra = 2.5;  // x room for pulls too short to measure: much utility, little work
 constexpr double kLinkCut = 0.8;     // x: the part of pulls that may fill, at each report of a full link
-constexpr double kLinkGrow = 0.05;   // of the pulls: more of them at each report of a link with room
+constexpr double kLinkGrow = 0.2;    // of the pulls: more of them at each report of a link with room
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
@@ -475,8 +475,7 @@
     if (!crowded || sent <= origin_cut_at) return;
     origin_part = std::max(kOriginLeast, kOriginCut * origin_part), origin_cut_at = origin_calm_at = now;
   }
-  // The objects let through are held before long: only if others try is it seen that the origin is well
-  // again.
+  // The objects let through are held before long; only others show that the origin is well again.
   void calm_origin() {
     if (now - origin_calm_at < kOriginCalm) return;
     origin_part = std::min(1.0, 2 * origin_part), origin_calm_at = now;
