Weigh lots by size: small pulls are filled first when a link or the origin is full

A pull earns its utility whatever its size. It can keep large objects unfilled for longer while a link is full.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,6 +54,7 @@
 constexpr double kSmallExtra = 2.5;  // x room for pulls too short to measure: much utility, little work
 constexpr double kLinkCut = 0.8;     // x: the part of pulls that may fill, at each report of a full link
 constexpr double kLinkGrow = 0.2;    // of the pulls: more of them at each report of a link with room
+constexpr double kLargest = 4;         // x the mean sending time: beyond it a pull's lot rises no more
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
@@ -841,7 +842,7 @@
   double flow = 0, link_part = 1, origin_part = 1, spare_fills = kSaved;
   Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo;
   ListScope scope = ListScope::kCached;
-  Average pace, origin_rate, misses, false_caches, false_parents;
+  Average pace, origin_rate, misses, all_sends, false_caches, false_parents;
 
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
@@ -932,7 +933,10 @@
     p.hot = again && m.is_hot(p, unit.bytes);  // one pull in the span is no crowd, however big
   }
   // By object and time, so that neither a client's repeat nor another director draws anew.
-  p.lot = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
+  // Large pulls draw higher: they earn no more than small ones, and what is scarce serves more of the small.
+  m.all_sends.add(now, m.send_time(p), 1);
+  const double large = std::clamp(m.send_time(p) / m.all_sends.mean(), 1 / kLargest, kLargest);
+  p.lot = std::min(1.0, large * unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember)));
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
