--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -51,10 +51,11 @@
 constexpr double kGrow = 0.1;        // transfers: more room after one in good time, at a node near its limit
 constexpr double kGrowFirst = 0.5;   // transfers: the same until its first crowd: nothing may tell of a link
 constexpr double kNearLimit = 0.7;   // of its room in use: below it a good answer proves nothing
-constexpr double kSmallExtra = 2.5;  // x room for pulls too short to measure: much utility, little work
+constexpr double kSmallExtra = 2.5;  // x room for pulls far shorter than the mean: much utility for it
+constexpr double kLeastExtra = 0.6;  // x room for pulls far longer: they are the first to find none
 constexpr double kLinkCut = 0.8;     // x: the part of pulls that may fill, at each report of a full link
 constexpr double kLinkGrow = 0.2;    // of the pulls: more of them at each report of a link with room
-constexpr double kLargest = 4;         // x the mean sending time: beyond it a pull's lot rises no more
+constexpr double kLargest = 4;       // x the mean sending time: beyond it a pull's lot rises no more
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
@@ -329,7 +330,9 @@
     return std::max(1.0, is_cache_kind(n) ? std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str())
                                           : number("Balancers", 4));
   }
-  double extra(const Pull& p) { return send_time(p) < kMeasurable ? kSmallExtra : 1; }
+  double extra(const Pull& p) {
+    return std::clamp(all_sends.mean() / send_time(p), kLeastExtra, kSmallExtra);
+  }
   bool has_room(const Pull& p, int n) { return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p); }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (!crowded && in_use >= kNearLimit * room[n]) room[n] += cut_at[n] == kLongAgo ? kGrowFirst : kGrow;
