--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,14 +48,12 @@
 constexpr double kLinkFull = 2.5;      // transfers for each that fits a location's link at a fill's pace
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;        // transfers: more room after one in good time, at a node near its limit
-constexpr double kGrowFirst = 0.5;   // transfers: the same until its first crowd: nothing may tell of a link
-constexpr double kNearLimit = 0.7;   // of its room in use: below it a good answer proves nothing
-constexpr double kSmallExtra = 4.0;  // x room for pulls far shorter than the mean: much utility for it
-constexpr double kLeastExtra = 0.4;  // x room for pulls far longer: they are the first to find none
-constexpr double kLinkCut = 0.8;     // x: the part of pulls that may fill, at each report of a full link
-constexpr double kLinkGrow = 0.2;    // of the pulls: more of them at each report of a link with room
-constexpr double kLargest = 4;       // x the mean sending time: beyond it a pull's lot rises no more
+constexpr double kGrow = 0.1;       // transfers: more room after one in good time, at a node near its limit
+constexpr double kGrowFirst = 0.5;  // transfers: the same until its first crowd: nothing may tell of a link
+constexpr double kNearLimit = 0.7;  // of its room in use: below it a good answer proves nothing
+constexpr double kSizes = 4;        // x the mean sending time, or a part of it: beyond, size counts no more
+constexpr double kLinkCut = 0.8;    // x: the part of pulls that may fill, at each report of a full link
+constexpr double kLinkGrow = 0.2;   // of the pulls: more of them at each report of a link with room
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
@@ -330,9 +328,8 @@
     return std::max(1.0, is_cache_kind(n) ? std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str())
                                           : number("Balancers", 4));
   }
-  double extra(const Pull& p) {
-    return std::clamp(all_sends.mean() / send_time(p), kLeastExtra, kSmallExtra);
-  }
+  // Pulls earn alike, whatever their size: small ones find more room and draw better lots.
+  double extra(const Pull& p) { return std::clamp(all_sends.mean() / send_time(p), 1 / kSizes, kSizes); }
   bool has_room(const Pull& p, int n) { return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p); }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (!crowded && in_use >= kNearLimit * room[n]) room[n] += cut_at[n] == kLongAgo ? kGrowFirst : kGrow;
@@ -936,10 +933,10 @@
     p.hot = again && m.is_hot(p, unit.bytes);  // one pull in the span is no crowd, however big
   }
   // By object and time, so that neither a client's repeat nor another director draws anew.
-  // Large pulls draw higher: they earn no more than small ones, and what is scarce serves more of the small.
   m.all_sends.add(now, m.send_time(p), 1);
-  const double large = std::clamp(m.send_time(p) / m.all_sends.mean(), 1 / kLargest, kLargest);
-  p.lot = std::min(1.0, large * unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember)));
+  // By object and time, so that neither a client's repeat nor another director draws anew.
+  p.lot =
+      std::min(1.0, unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember)) / m.extra(p));
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
