--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -51,7 +51,7 @@
 constexpr double kGrow = 0.1;       // transfers: more room after one in good time, at a node near its limit
 constexpr double kGrowFirst = 0.5;  // transfers: the same until its first crowd: nothing may tell of a link
 constexpr double kNearLimit = 0.7;  // of its room in use: below it a good answer proves nothing
-constexpr double kSizes = 4;        // x the mean sending time, or a part of it: beyond, size counts no more
+constexpr double kSizes = 2.5;      // x the mean sending time, or a part of it: beyond, size counts no more
 constexpr double kLinkCut = 0.8;    // x: the part of pulls that may fill, at each report of a full link
 constexpr double kLinkGrow = 0.2;   // of the pulls: more of them at each report of a link with room
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
@@ -911,7 +911,6 @@
     for (int n = 0; n < m.count(); ++n)
       if (!m.fresh[n]) m.listed[n] = m.running[n] = false;  // rule 3: missing from a full list is gone
   }
-  m.go_through_rules();
 }
 
 void Director::pull_arrived(Seconds now, const PullId& id, GradeIndex grade, TenantIndex, ObjectId object,
@@ -926,17 +925,14 @@
   if (m.flow > 0 && size_kb > 0) m.grades[p.grade].send.add(now, size_kb / m.flow, 1);
   if (!m.is_write(p)) {
     Unit& unit = m.units[p.unit];
-    p.known = unit.at > kLongAgo;
-    const bool again = now - unit.at <= kHotSpan;
+    p.known = unit.at > kLongAgo, p.hot = now - unit.at <= kHotSpan;  // one pull in the span is no crowd
     unit.bytes = unit.bytes * std::exp((unit.at - now) / kHotSpan) + size_kb;
-    unit.at = now;
-    p.hot = again && m.is_hot(p, unit.bytes);  // one pull in the span is no crowd, however big
+    unit.at = now, p.hot = p.hot && m.is_hot(p, unit.bytes);
   }
-  // By object and time, so that neither a client's repeat nor another director draws anew.
   m.all_sends.add(now, m.send_time(p), 1);
   // By object and time, so that neither a client's repeat nor another director draws anew.
-  p.lot =
-      std::min(1.0, unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember)) / m.extra(p));
+  const double draw = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
+  p.lot = std::min(1.0, draw / m.extra(p));
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
