--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -60,7 +60,7 @@
 constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
 constexpr double kOriginGrow = 0.02;  // of the pulls: more of them after an answer in good time
 constexpr Seconds kOriginCalm = 3.0;  // s without a failure there: after each, twice as many may reach it
-constexpr double kOriginLeast = 0.02;  // of the pulls: fewer would not tell when the origin is back
+constexpr double kOriginLeast = 0.05;  // of the pulls: fewer would not tell when the origin is back
 constexpr double kEarned = 0.2;        // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;           // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;        // s: about so long before a write turned away asks the origin again
@@ -794,7 +794,6 @@
     }
     const bool asked = off.source != off.node;
     measure_room(asked ? off.source : off.node, 0, true, off.sent);  // late is late, whoever is to blame
-    if (is_origin(off.source)) measure_origin(true, off.sent);
     if (!asked || filled_at[off.source] >= off.sent) return false;
     strike(off.source, 1);
     p.bad_sources.push_back(off.source), p.in_vain = true;
