--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -330,7 +330,7 @@
   }
   // Pulls earn alike, whatever their size: small ones find more room and draw better lots.
   double extra(const Pull& p) { return std::clamp(all_sends.mean() / send_time(p), 1 / kSizes, kSizes); }
-  bool has_room(const Pull& p, int n) { return out_here[n] < std::max(1.0, warmth(n) * room[n] * extra(p)); }
+  bool has_room(const Pull& p, int n) { return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p); }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (!crowded && in_use >= kNearLimit * room[n]) room[n] += cut_at[n] == kLongAgo ? kGrowFirst : kGrow;
     if (!crowded || sent <= cut_at[n]) return;  // it was out already when the room was last cut
@@ -484,7 +484,7 @@
   // Most pulls that name a source never need it: of those out, the usual part counts.
   bool source_room(const Pull& p, int n) {
     return (is_cache_kind(n) ? 0 : out_here[n]) + out_from[n] * (misses.heard() ? misses.mean() : 1) <
-           std::max(1.0, room[n] * extra(p));
+           room[n] * extra(p);
   }
 
   // The design's companion: a spread object is filled from the other of the hash's top two.
