--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -539,7 +539,9 @@
     return way;
   }
   // While no source can take a fill, what the home holds can still be had.
-  Way held_way(const Pull& p) { return p.looks > 0 ? Way() : choose_cache(p); }
+  Way held_way(const Pull& p) {
+    return !p.offs.empty() && p.offs.back().source == p.offs.back().node ? Way() : choose_cache(p);
+  }
   // Guards against fills of what is being filled already, where a pull can't join one: it asks for what the
   // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
   Way look_way(const Pull& p) {
@@ -808,8 +810,9 @@
     Pull& p = *held(id);
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
-    // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
-    if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
+    // Guards against waits on a slow source that keep hits out: a late fill gives its rooms back.
+    if (off.source != off.node && std::exchange(off.in_room, false))
+      --out_here[off.node], --out_from[off.source];
     if (!suspect(p, off)) return;
     if (allowed("Permissions.SecondCopies")) {
       p.overdue = true;
@@ -964,7 +967,7 @@
     HandOff& off = p.offs[place];
     off.out = false;
     m.work_out[off.node] -= m.send_time(p);
-    m.out_here[off.node] -= off.in_room, --m.out_from[off.source];
+    m.out_here[off.node] -= off.in_room, m.out_from[off.source] -= off.in_room;
     const bool never_ran = result == Result::kTurnedAway || result == Result::kUnreachable ||
                            result == Result::kNotSent || result == Result::kAbsent;
     p.may_have_run = p.may_have_run || !never_ran;
