--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -538,7 +538,7 @@
     way.source = choose_origin(p);
     return way;
   }
-  // While no source can take a fill, what the home holds can still be had.
+  // While no source can take a fill, what the home holds can still be had: a copy may have come since a look.
   Way held_way(const Pull& p) {
     return !p.offs.empty() && p.offs.back().source == p.offs.back().node ? Way() : choose_cache(p);
   }
@@ -556,14 +556,12 @@
   }
   // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
   Way straight_way(const Pull& p) {
-    if (!allowed("FamilyInfo.Direct")) return {};
-    if (choose_cache(p)) return {};
+    if (!allowed("FamilyInfo.Direct") || choose_cache(p)) return {};
     Way way;
     way.node = choose_parent(p, way.trial);
     if (way.node == kNobody) way.node = choose_origin(p);
     way.source = way.node;
     if (way.node == kNobody || !may_go_to(p, way.node)) return {};
-    // What the parent lacks it fetches as for any other fill.
     if (is_parent(way.node) && origin() != kNobody && can_give(p, origin())) way.source = origin();
     return way;
   }
@@ -810,9 +808,8 @@
     Pull& p = *held(id);
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
-    // Guards against waits on a slow source that keep hits out: a late fill gives its rooms back.
-    if (off.source != off.node && std::exchange(off.in_room, false))
-      --out_here[off.node], --out_from[off.source];
+    // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
+    if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
     if (!suspect(p, off)) return;
     if (allowed("Permissions.SecondCopies")) {
       p.overdue = true;
@@ -967,7 +964,7 @@
     HandOff& off = p.offs[place];
     off.out = false;
     m.work_out[off.node] -= m.send_time(p);
-    m.out_here[off.node] -= off.in_room, m.out_from[off.source] -= off.in_room;
+    m.out_here[off.node] -= off.in_room, --m.out_from[off.source];
     const bool never_ran = result == Result::kTurnedAway || result == Result::kUnreachable ||
                            result == Result::kNotSent || result == Result::kAbsent;
     p.may_have_run = p.may_have_run || !never_ran;
