--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "policy.hpp"
+#include "protocol/settings.hpp"
 
 namespace hareramp::benchlink {
 namespace {
@@ -296,9 +297,9 @@
 
   void attach(int who, const Line& line) {
     const auto seed = line.number<std::uint64_t>("Prng", 0);
-    Settings settings(line.fields().begin(), line.fields().end());
-    settings.erase("Who");
-    settings.erase("Prng");
+    Settings settings;
+    for (const auto& [name, value] : line.fields())
+      if (name != "Who" && name != "Prng") protocol::put_setting(settings, name, value);
     Instance instance;
     instance.actions = std::make_unique<WireActions>(who, reply_);
     instance.director = std::make_unique<Director>(now_, std::move(settings), seed, *instance.actions);
--- /dev/null
+++ b/src/limits.hpp
@@ -0,0 +1,43 @@
+// Every limit of the director in one type: sizes in bytes, counts, times in seconds. Filled once at start
+// from the configuration (program/limits.cpp) and handed down; nobody below changes it.
+#pragma once
+
+#include <cstddef>
+
+namespace hareramp {
+
+struct Limits {
+  // sizes
+  std::size_t head_bytes = 0;       // a request's or response's head
+  std::size_t request_body = 0;     // a write's body
+  std::size_t read_ahead = 0;       // bytes taken from a client whose pull is still open
+  std::size_t buffer_kept = 0;      // memory that an empty buffer keeps
+  std::size_t read_room = 0;        // room made for one read
+  std::size_t answer_line = 0;      // the line of a cache node's answer
+  std::size_t answer_body = 0;      // the bytes of a cache node's answer
+  std::size_t event_bytes = 0;      // an event of the change log
+  std::size_t waiting_answers = 0;  // bytes of answers that slow clients have not yet read, all together
+  // counts
+  std::size_t clients = 0;            // connections from clients
+  std::size_t links = 0;              // connections to nodes, all together
+  std::size_t links_per_node = 0;     // of these, to one node
+  std::size_t streams_per_link = 0;   // hand-offs out on one connection
+  std::size_t descriptors_spare = 0;  // kept for the log, the change log, epoll and the like
+  int backlog = 0;                    // connections that wait to be accepted
+  // times
+  double connect = 0;        // to set up a connection to a node
+  double link_idle = 0;      // a connection to a node with nothing out: before the node closes it
+  double link_doubt = 0;     // nothing heard on a connection while something was given up on it
+  double client_idle = 0;    // a client's connection with no request
+  double request_whole = 0;  // from a request's first byte to its last
+  double answer_taken = 0;   // for a client to take an answer
+  double linger = 0;         // for a client to notice that we close
+  double stop_margin = 0;    // our own hard stop lies so much before the client's
+  double overdue = 0;        // past our own hard stop a pull without an answer is ended here
+  double log_silent = 0;     // the change log is taken for dead after so long a silence
+  double log_again = 0;      // between tries to reach the change log
+  double serve_on = 0;       // after SIGTERM, new work is still taken for so long
+  double leave = 0;          // after SIGTERM, all is over by then
+};
+
+}  // namespace hareramp
--- /dev/null
+++ b/src/program/limits.cpp
@@ -0,0 +1,55 @@
+#include <algorithm>
+
+#include "program/config.hpp"
+
+namespace hareramp::program {
+
+namespace {
+constexpr std::size_t kKb = 1024;
+constexpr std::size_t kMb = 1024 * kKb;
+}  // namespace
+
+Limits fill_limits(const protocol::Json& given, const protocol::Json& settings) {
+  const auto count = [](double value, double least, double most) {
+    return static_cast<std::size_t>(std::clamp(value, least, most));
+  };
+  const double sockets = given["sockets"].number(1024), memory = given["memory_mb"].number(192) * kMb;
+  const protocol::Json& allowed = settings["Permissions"];
+
+  Limits limits;
+  limits.head_bytes = 16 * kKb;     // ours are under 1 KB; room for a proxy's additions
+  limits.request_body = 256 * kKb;  // a write brings 48,000 bytes at most
+  limits.read_ahead = 32 * kKb;     // pipelined requests
+  limits.buffer_kept = 32 * kKb;    // one usual read: idle clients together stay within 11 MB
+  limits.read_room = 16 * kKb;      // one usual read
+  limits.answer_line = 8 * kKb;     // under 300 bytes in use
+  limits.answer_body = 1 * kMb;     // objects hold 240,000 bytes at most
+  limits.event_bytes = 1 * kMb;     // a whole list of thousands of nodes
+  // Answers on their way out, the largest part of what varies; buffers and pulls share the rest.
+  limits.waiting_answers = count(memory / 3, kMb, 1024.0 * kMb);
+
+  limits.clients = count(sockets / 3, 1, 100000);
+  limits.descriptors_spare = 32;  // log, epoll, signals, change log, listener: 8 in use
+  limits.links = count(sockets - sockets / 3 - 32, 1, 100000);
+  limits.links_per_node = 8;  // one carries a hundred hand-offs; more only beside a silent one
+  limits.streams_per_link = count(allowed["StreamsPerConn"].number(100), 1, 10000);
+  limits.backlog = 512;  // a front that reconnects all its clients at once
+
+  limits.connect = allowed["ConnectTimeoutS"].number(0.4);
+  // A good part of the node's own time, so that the node never closes first.
+  limits.link_idle = 0.7 * allowed["ConnIdleS"].number(15);
+  limits.link_doubt = limits.connect;  // as long as a new connection would have to come up
+  limits.client_idle = 60;             // clients close theirs after 4 s
+  limits.request_whole = 10;           // a request's bytes come within a second
+  limits.answer_taken = 10;            // longer than any client waits
+  limits.linger = 0.25;                // one way to a client and back, several times
+  limits.stop_margin = 0.03;           // the way to the client (12 ms) and a late turn of the loop
+  limits.overdue = 0.005;              // the module's own end comes within a turn of the loop
+  limits.log_silent = 3;               // three comments missed
+  limits.log_again = 0.2;              // a change must be told within seconds
+  limits.serve_on = 0.75;              // new work may come until 0.6 s after SIGTERM
+  limits.leave = 8;                    // past the longest hard stop; each pull has ended by itself
+  return limits;
+}
+
+}  // namespace hareramp::program
--- /dev/null
+++ b/src/program/serve.hpp
@@ -0,0 +1,17 @@
+// One director at work, from its start to its end.
+#pragma once
+
+#include "counters.hpp"
+#include "log.hpp"
+#include "program/config.hpp"
+
+namespace hareramp::program {
+
+// Serves until SIGTERM or SIGINT, then answers what it has taken. Returns the exit status. SIGUSR1 prints
+// the counters.
+int serve(const Config& config, Log& log);
+
+// All counters with a name each, one line.
+std::string counters_line(const Counters& counters);
+
+}  // namespace hareramp::program
--- /dev/null
+++ b/src/protocol/events.cpp
@@ -0,0 +1,87 @@
+#include "protocol/events.hpp"
+
+#include <charconv>
+#include <map>
+
+namespace hareramp::protocol {
+
+namespace {
+const std::map<std::string, Readiness> kStates = {
+    {"active", Readiness::kRunning}, {"leaving", Readiness::kDraining}, {"left", Readiness::kGone}};
+}
+
+bool EventParser::feed(std::string_view piece, EventHandler& handler) {
+  for (const char c : piece) {
+    const bool second_half = after_cr_ && c == '\n';
+    after_cr_ = c == '\r';
+    if (second_half) continue;
+    if (c == '\r' || c == '\n') {
+      line(handler);
+      continue;
+    }
+    line_ += c;
+    if (line_.size() + data_.size() > most_bytes_) return false;
+  }
+  return true;
+}
+
+void EventParser::line(EventHandler& handler) {
+  if (line_.empty()) {
+    if (has_data_) handler.event(id_, data_);
+    data_.clear();
+    has_data_ = false;
+    return;
+  }
+  const std::string_view whole = line_;
+  const auto colon = whole.find(':');
+  const std::string_view name = whole.substr(0, colon);
+  std::string_view value = colon == std::string_view::npos ? std::string_view() : whole.substr(colon + 1);
+  if (value.starts_with(' ')) value.remove_prefix(1);
+  if (name == "data") {
+    if (has_data_) data_ += '\n';
+    data_ += value;
+    has_data_ = true;
+  } else if (name == "id") {
+    id_ = value;
+  }
+  line_.clear();
+}
+
+bool read_object(std::string_view text, ObjectId& object) {
+  if (text.empty() || text.size() > 16) return false;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), object.value, 16);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
+void read_change(const Json& change, ChangeHandler& handler) {
+  for (const auto& [name, value] : change.members()) {
+    if (name == "fleet") {
+      handler.list_starts(value["full"].truth());
+      for (const Json& entry : value["servers"].items()) {
+        const auto state = kStates.find(entry["state"].text());
+        if (entry["id"].text().empty() || state == kStates.end()) {
+          handler.skipped("list entry " + entry["id"].text() + " in state '" + entry["state"].text() + "'");
+          continue;
+        }
+        handler.list_entry({entry["id"].text()}, entry["addr"].text(), entry["zone"].text(),
+                           entry["kind"].text(), {static_cast<int>(entry["cell"].number(0))}, state->second,
+                           entry["weight"].number(1), entry["started_ms"].number(0));
+      }
+      handler.list_ends();
+    } else if (name == "invalidate") {
+      const double at = value["time"].number(0);
+      ObjectId object;
+      if (const auto bucket = value["bucket"].whole()) {
+        handler.group_purged({*bucket}, at);
+      } else if (read_object(value["object"].text(), object)) {
+        handler.object_purged(object, at);
+      } else {
+        handler.skipped("a purge of neither an object nor a group");
+      }
+    } else if (name != "seq") {
+      handler.skipped("an event '" + name + "'");
+    }
+  }
+}
+
+}  // namespace hareramp::protocol
--- /dev/null
+++ b/src/protocol/lines.hpp
@@ -0,0 +1,44 @@
+// The cache nodes' protocol: commands and answers as lines of words, with bodies behind them. Commands are
+// written, answers parsed as they arrive, in pieces of any size.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "policy.hpp"
+
+namespace hareramp::protocol {
+
+// What a pull says of itself; it goes on as the client worded it.
+struct Wording {
+  std::string lane, name, piece, cached, body;
+};
+
+std::string serve_line(const PullId& pull, const Wording& wording, Seconds wait, const NodeId& node,
+                       const FillTerms& fill);
+std::string cancel_line(const PullId& pull);
+
+class AnswerHandler {
+ public:
+  virtual ~AnswerHandler() = default;
+  // Views last only for the call.
+  virtual void answer(std::string_view pull, Result result, Note note, Seconds waited, bool same_copy,
+                      std::string_view tag, const LoadReport& report, std::string_view body) = 0;
+};
+
+class AnswerParser {
+ public:
+  AnswerParser(std::size_t most_line, std::size_t most_body) : most_line_(most_line), most_body_(most_body) {}
+
+  // Reads the whole answers at the start of input. False: it can't be read, and nothing after it either.
+  bool feed(std::string_view input, std::size_t& used, AnswerHandler& handler);
+  // How many more bytes the answer that has begun needs at least.
+  std::size_t wanted() const { return wanted_; }
+
+ private:
+  std::size_t most_line_, most_body_;
+  std::size_t looked_ = 0, wanted_ = 0;
+};
+
+}  // namespace hareramp::protocol
--- /dev/null
+++ b/src/routing/front.cpp
@@ -0,0 +1,359 @@
+#include "routing/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace hareramp::routing {
+
+using protocol::HttpParser;
+using protocol::same_name;
+using transport::Io;
+using transport::IoEnd;
+using transport::kNever;
+using transport::Scheduler;
+using transport::Task;
+
+namespace {
+
+template <class Number>
+bool read_number(std::string_view text, Number& value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size();
+}
+bool read_figure(std::string_view text, double most, double& value) {
+  return read_number(text, value) && std::isfinite(value) && value >= 0 && value <= most;
+}
+constexpr double kLargest = 1e12;  // ms and KB: beyond, it is no figure of a pull
+
+// What goes on in a line of words must hold no mark of that line.
+bool is_word(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c > 0x20 && c < 0x7f && c != ',' && c != '=' && c != '+';
+  });
+}
+bool is_id(std::string_view text) {
+  return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+}
+
+}  // namespace
+
+Front::Front(Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
+             const transport::Address& at, std::vector<std::string> grades, ModuleActor& module)
+    : scheduler_(scheduler),
+      limits_(limits),
+      counters_(counters),
+      log_(log),
+      listener_(scheduler, at, limits.backlog),
+      grades_(std::move(grades)),
+      module_(module),
+      room_(scheduler) {}
+
+Front::~Front() = default;
+
+void Front::start() { scheduler_.spawn(live(*this)); }
+
+Task<> Front::live(Front& self) {
+  for (;;) {
+    while (self.clients_.size() >= self.limits_.clients && !self.closing_) {
+      if (self.make_room()) continue;
+      ++self.counters_.accept_paused;
+      co_await self.room_.wait();
+    }
+    auto accepted = co_await self.listener_.accept();
+    if (accepted.end == transport::Listener::End::kClosed) co_return;
+    if (accepted.end == transport::Listener::End::kNoDescriptor) {
+      ++self.counters_.accept_paused;
+      if (!self.make_room()) co_await self.scheduler_.sleep_until(Scheduler::now() + self.limits_.linger);
+      continue;
+    }
+    ++self.counters_.clients_accepted;
+    self.clients_.push_back(std::make_shared<Client>(self, std::move(accepted.socket)));
+    self.clients_.back()->start();
+  }
+}
+
+// Guards against connections that are kept open and not used while others wait to be accepted.
+bool Front::make_room() {
+  for (const auto& client : clients_) {
+    if (!client->idle()) continue;
+    client->close_idle();
+    return true;
+  }
+  return false;
+}
+
+void Front::close() {
+  closing_ = true;
+  listener_.close();
+  room_.notify();
+  const auto clients = clients_;
+  for (const auto& client : clients)
+    if (client->idle()) client->close_idle();
+}
+
+void Front::ended(Client& client) {
+  ++counters_.clients_closed;
+  clients_.remove_if([&](const auto& held) { return held.get() == &client; });
+  room_.notify();
+}
+
+Client::Client(Front& front, transport::Socket socket)
+    : front_(front),
+      socket_(std::move(socket)),
+      in_(front.limits_.buffer_kept),
+      parser_(HttpParser::Message::kRequest, {front.limits_.head_bytes, front.limits_.request_body}),
+      mailbox_(front.scheduler_),
+      resumed_(front.scheduler_),
+      moved_at_(Scheduler::now()) {}
+
+void Client::start() {
+  front_.scheduler_.spawn(live(shared_from_this()));
+  front_.scheduler_.spawn(read(shared_from_this()));
+}
+
+Task<> Client::live(std::shared_ptr<Client> self) { co_await self->mailbox_.serve(); }
+
+// --- reading ---
+
+Task<> Client::read(std::shared_ptr<Client> self) {
+  const Limits& limits = self->front_.limits_;
+  while (!self->ended_) {
+    if (self->in_.size() >= limits.read_ahead && !self->closing_) {  // reading pauses
+      co_await self->resumed_.wait();
+      continue;
+    }
+    const Seconds patience = self->closing_ && !self->busy_ ? limits.linger
+                             : self->parser_.begun()        ? limits.request_whole
+                                                            : limits.client_idle;
+    const Io io = co_await self->socket_.read(self->in_, limits.read_room, self->moved_at_ + patience);
+    if (self->ended_) break;
+    if (io.end == IoEnd::kTimedOut) {
+      if (self->busy_) {
+        self->moved_at_ = Scheduler::now();
+      } else if (Scheduler::now() < self->moved_at_ + patience) {
+        continue;  // something was answered meanwhile
+      } else if (!self->closing_ && self->parser_.begun()) {
+        self->refuse(408);
+      } else {
+        break;
+      }
+      continue;
+    }
+    if (!io.ok()) break;
+    if (!self->parser_.begun()) self->moved_at_ = Scheduler::now();
+    self->advance();
+  }
+  self->leave();
+}
+
+// Reads on in what has come in. Stops at a whole request, until that is answered.
+void Client::advance() {
+  if (closing_ && !busy_) in_.consume(in_.size());  // nothing that follows counts
+  while (!busy_ && !closing_ && !ended_ && in_.size() > 0) {
+    std::size_t used = 0;
+    const auto step = parser_.feed(in_.view(), used, *this);
+    in_.consume(used);
+    switch (step) {
+      case HttpParser::Step::kMore:
+        return;
+      case HttpParser::Step::kHead:
+        if (parser_.expects_continue()) socket_.write_now("HTTP/1.1 100 Continue\r\n\r\n");
+        break;
+      case HttpParser::Step::kDone:
+        busy_ = true;
+        keep_ = parser_.keeps_alive();
+        serve();
+        break;
+      case HttpParser::Step::kBad:
+        return refuse(400);
+      case HttpParser::Step::kTooLarge:
+        return refuse(request_.target.empty() || request_.sized ? 413 : 431);
+      case HttpParser::Step::kUnknown:
+        return refuse(501);
+    }
+  }
+}
+
+void Client::start_line(std::string_view method, std::string_view target) {
+  request_ = Request();
+  request_.get = method == "GET";
+  request_.put = method == "PUT";
+  request_.target = target;
+}
+
+void Client::header(std::string_view name, std::string_view value) {
+  Request& r = request_;
+  if (same_name(name, "x-correlation-id")) {
+    r.has_id = is_id(value);
+    r.id = value;
+  } else if (same_name(name, "x-deadline-ms")) {
+    r.has_stop = read_figure(value, kLargest, r.wait);
+  } else if (same_name(name, "x-resent")) {
+    r.resent = value == "1";
+  } else if (same_name(name, "x-family")) {
+    r.bad = r.bad || !read_number(value, r.family);
+  } else if (same_name(name, "x-need-kb")) {
+    r.bad = r.bad || !read_figure(value, kLargest, r.size_kb);
+  } else if (same_name(name, "if-none-match")) {
+    if (value.starts_with("W/")) value.remove_prefix(2);
+    if (value.size() >= 2 && value.front() == '"' && value.back() == '"')
+      value = value.substr(1, value.size() - 2);
+    if (is_word(value)) r.cached = value;  // a list of tags, or *, is not what our clients send
+  } else if (same_name(name, "content-length")) {
+    r.sized = true;
+  }
+}
+
+void Client::body(std::string_view piece) { request_.body += piece; }
+
+// --- one request ---
+
+void Client::serve() {
+  const std::string_view target = request_.target;
+  if (target == "/_health") {
+    ++front_.counters_.health_asked;
+    return answer(request_.get ? 200 : 405, "", "ok\n");
+  }
+  if (!target.starts_with("/invoke/")) {
+    ++front_.counters_.not_found;
+    return answer(404, "", "");
+  }
+  if (!request_.get && !request_.put) return answer(405, "Allow: GET, PUT\r\n", "");
+  if (!serve_pull()) {
+    ++front_.counters_.clients_bad;
+    keep_ = false;
+    answer(400, "", "");
+  }
+}
+
+// /invoke/GRADE/OBJECT or /invoke/GRADE/OBJECT/block-PART
+bool Client::serve_pull() {
+  std::string_view target = request_.target;
+  target.remove_prefix(std::string_view("/invoke/").size());
+  const auto slash = target.find('/');
+  if (slash == std::string_view::npos) return false;
+  const std::string_view grade = target.substr(0, slash);
+  target.remove_prefix(slash + 1);
+  const auto end = target.find('/');
+  const std::string_view name = target.substr(0, end);
+  std::string_view piece;
+  PartNumber part;
+  if (end != std::string_view::npos) {
+    piece = target.substr(end + 1);
+    if (!piece.starts_with("block-")) return false;
+    piece.remove_prefix(6);
+    if (!read_number(piece, part.value) || part.value < 0) return false;
+  }
+  ObjectId object;
+  const auto& grades = front_.grades_;
+  const auto known = std::find(grades.begin(), grades.end(), grade);
+  if (known == grades.end() || !protocol::read_object(name, object)) return false;
+  if (!request_.has_id || !request_.has_stop || request_.bad) return false;
+
+  auto wording = std::make_shared<protocol::Wording>();
+  wording->lane = grade;
+  wording->name = name;
+  wording->piece = piece;
+  wording->cached = std::move(request_.cached);
+  wording->body = std::move(request_.body);
+  const Limits& limits = front_.limits_;
+  const Seconds hard_stop = Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin);
+  pull_ = {std::move(request_.id)};
+  owed_ = true;
+  front_.module_.pull_arrived(pull_, {static_cast<int>(known - grades.begin())}, object, part,
+                              {request_.family}, hard_stop, request_.size_kb, request_.resent, request_.put,
+                              std::move(wording), weak_from_this());
+  return true;
+}
+
+// --- answers ---
+
+void Client::completed(const PullId& pull, Content content) {
+  mailbox_.post([this, pull, content = std::move(content)]() mutable {
+    if (!owed_ || pull != pull_) return;
+    std::string more;
+    if (!content.tag.empty()) more = "ETag: \"" + content.tag + "\"\r\n";
+    answer(content.same_copy ? 304 : 200, std::move(more), std::move(content.bytes));
+  });
+}
+
+void Client::bounced(const PullId& pull, Seconds come_back_in) {
+  mailbox_.post([this, pull, come_back_in] {
+    if (!owed_ || pull != pull_) return;
+    std::string more;
+    const auto pause = static_cast<long long>(std::ceil(come_back_in * 1000));
+    if (pause > 0) more = "X-Pushback-Ms: " + std::to_string(pause) + "\r\n";
+    answer(503, std::move(more), "");
+  });
+}
+
+void Client::forfeited(const PullId& pull) {
+  mailbox_.post([this, pull] {
+    if (owed_ && pull == pull_) answer(500, "", "");
+  });
+}
+
+// A request that can't be read: a plain answer, and nothing that follows on the connection counts.
+void Client::refuse(int status) {
+  ++front_.counters_.clients_bad;
+  busy_ = true;
+  keep_ = false;
+  in_.consume(in_.size());
+  answer(status, "", "");
+}
+
+void Client::answer(int status, std::string more, std::string bytes) {
+  owed_ = false;
+  if (!keep_) closing_ = true;
+  front_.counters_.bytes_answered += bytes.size();
+  std::string head = protocol::http_answer(status, more, bytes.size(), keep_);
+  front_.scheduler_.spawn(write(shared_from_this(), std::move(head), std::move(bytes)));
+}
+
+Task<> Client::write(std::shared_ptr<Client> self, std::string head, std::string bytes) {
+  const Seconds until = Scheduler::now() + self->front_.limits_.answer_taken;
+  const std::size_t size = bytes.size();
+  self->front_.waiting_answers_ += size;
+  head += bytes;  // one write: a client that reads the head finds the body with it
+  bytes = std::string();
+  const Io io = co_await self->socket_.write(head, until);
+  self->front_.waiting_answers_ -= size;
+  if (self->ended_) co_return;
+  if (!io.ok()) {
+    // Guards against a client that does not read: what it was sent is not whole, and it can tell.
+    if (io.end == IoEnd::kTimedOut) ++self->front_.counters_.clients_slow;
+    self->socket_.abort();
+    self->leave();
+    co_return;
+  }
+  self->moved_at_ = Scheduler::now();
+  self->busy_ = false;
+  if (self->closing_) {
+    // The client reads what it was sent before it sees the end, and is not waited for long.
+    self->socket_.finish();
+    self->front_.scheduler_.at(Scheduler::now() + self->front_.limits_.linger,
+                               [weak = self->weak_from_this()] {
+                                 if (const auto client = weak.lock()) client->leave();
+                               });
+  }
+  self->advance();
+  self->resumed_.notify();
+}
+
+void Client::close_idle() {
+  closing_ = true;
+  leave();
+}
+
+void Client::leave() {
+  if (std::exchange(ended_, true)) return;
+  socket_.close();
+  if (std::exchange(owed_, false)) front_.module_.pull_left(pull_);
+  resumed_.notify();
+  mailbox_.close();
+  front_.ended(*this);
+}
+
+}  // namespace hareramp::routing
--- /dev/null
+++ b/src/routing/front.hpp
@@ -0,0 +1,111 @@
+// The clients' side: takes connections, reads requests from them, and writes each pull's one answer.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "counters.hpp"
+#include "limits.hpp"
+#include "log.hpp"
+#include "protocol/http.hpp"
+#include "routing/module.hpp"
+#include "transport/buffer.hpp"
+#include "transport/mailbox.hpp"
+#include "transport/scheduler.hpp"
+#include "transport/signal.hpp"
+#include "transport/socket.hpp"
+
+namespace hareramp::routing {
+
+class Client;
+
+// Takes connections as long as there is room for them, and knows those that are open.
+class Front {
+ public:
+  Front(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
+        const transport::Address& at, std::vector<std::string> grades, ModuleActor& module);
+  ~Front();
+
+  void start();
+  transport::Address address() const { return listener_.address(); }
+  // No new connections, and none that has nothing to do.
+  void close();
+  std::size_t clients() const { return clients_.size(); }
+
+ private:
+  friend class Client;
+  static transport::Task<> live(Front& self);
+  bool make_room();
+  void ended(Client& client);
+
+  transport::Scheduler& scheduler_;
+  const Limits& limits_;
+  Counters& counters_;
+  Log& log_;
+  transport::Listener listener_;
+  std::vector<std::string> grades_;
+  ModuleActor& module_;
+  transport::Signal room_;
+  std::list<std::shared_ptr<Client>> clients_;  // in the order in which they came
+  std::size_t waiting_answers_ = 0;             // bytes
+  bool closing_ = false;
+};
+
+// One connection. Pulls on it are answered in order, one open at a time; what is pipelined behind waits in
+// the buffer, and reading pauses when that is full.
+class Client : public Asker, private protocol::HttpHandler, public std::enable_shared_from_this<Client> {
+ public:
+  Client(Front& front, transport::Socket socket);
+  void start();
+
+  void completed(const PullId& pull, Content content) override;
+  void bounced(const PullId& pull, Seconds come_back_in) override;
+  void forfeited(const PullId& pull) override;
+
+  bool idle() const { return !busy_ && !parser_.begun() && in_.size() == 0; }
+  void close_idle();
+
+ private:
+  // The request being read.
+  struct Request {
+    bool get = false, put = false, resent = false, sized = false, has_id = false, has_stop = false;
+    bool bad = false;
+    std::string target, id, cached, body;
+    Seconds wait = 0;
+    double size_kb = 0;
+    std::int64_t family = -1;
+  };
+  void start_line(std::string_view method, std::string_view target) override;
+  void header(std::string_view name, std::string_view value) override;
+  void body(std::string_view piece) override;
+
+  void advance();
+  void serve();
+  bool serve_pull();
+  void refuse(int status);
+  void answer(int status, std::string more, std::string bytes);
+  void leave();
+  static transport::Task<> live(std::shared_ptr<Client> self);
+  static transport::Task<> read(std::shared_ptr<Client> self);
+  static transport::Task<> write(std::shared_ptr<Client> self, std::string head, std::string bytes);
+
+  Front& front_;
+  transport::Socket socket_;
+  transport::Buffer in_;
+  protocol::HttpParser parser_;
+  transport::Mailbox mailbox_;
+  transport::Signal resumed_;
+  Request request_;
+  PullId pull_;           // the one that is open
+  Seconds moved_at_ = 0;  // when the connection last did something
+  bool busy_ = false;     // a request is being answered
+  bool owed_ = false;     // by the module
+  bool keep_ = true;
+  bool closing_ = false;  // no further request is read
+  bool ended_ = false;
+};
+
+}  // namespace hareramp::routing
--- /dev/null
+++ b/src/routing/module.cpp
@@ -0,0 +1,302 @@
+#include "routing/module.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace hareramp::routing {
+
+using transport::Scheduler;
+using transport::Task;
+
+// A change of the list, read straight into calls of the director; peers come and go with it.
+class ModuleActor::Changes : public protocol::ChangeHandler {
+ public:
+  Changes(ModuleActor& module, bool known) : module_(module), known_(known) {}
+
+  void list_starts(bool whole) override {
+    whole_ = whole;
+    module_.director_->list_starts(
+        now(), whole ? known_ ? ListScope::kCached : ListScope::kFull : ListScope::kChanges);
+  }
+  void list_entry(const NodeId& node, const std::string& address, const std::string& zone,
+                  const std::string& kind, CellIndex cell, Readiness readiness, double weight,
+                  double started_unix_ms) override {
+    const auto place = transport::Address::parse(address);
+    if (readiness != Readiness::kGone && !place) return skipped("the address '" + address + "'");
+    if (readiness == Readiness::kGone) {
+      retire(node);
+    } else {
+      listed_.insert(node);
+      connect(node, *place);
+    }
+    const Seconds age = transport::Clock::unix_now() - started_unix_ms / 1000;
+    module_.director_->list_entry(now(), node, {index(module_.names_.zones, zone)},
+                                  {index(module_.names_.kinds, kind)}, cell, readiness, weight,
+                                  started_unix_ms > 0 ? now() - age : 0);
+  }
+  void list_ends() override {
+    if (whole_) {
+      std::vector<NodeId> missing;
+      for (const auto& [node, peer] : module_.peers_)
+        if (!listed_.contains(node)) missing.push_back(node);
+      for (const NodeId& node : missing) retire(node);
+    }
+    module_.director_->list_ends(now());
+  }
+  void object_purged(ObjectId object, double unix_ms) override {
+    ++module_.counters_.purges;
+    module_.director_->object_purged(now(), object, age_of(unix_ms));
+  }
+  void group_purged(GroupId group, double unix_ms) override {
+    ++module_.counters_.purges;
+    module_.director_->group_purged(now(), group, age_of(unix_ms));
+  }
+  void skipped(const std::string& what) override {
+    ++module_.counters_.events_skipped;
+    module_.log_.line("change log: skipped {}", what);
+  }
+
+ private:
+  Seconds now() const { return module_.clock_.now(); }
+  // A clock that was set back must not make a purge lie in the future.
+  static Seconds age_of(double unix_ms) {
+    return std::max(0.0, transport::Clock::unix_now() - unix_ms / 1000);
+  }
+  static int index(const std::vector<std::string>& names, const std::string& name) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? -1 : static_cast<int>(found - names.begin());
+  }
+  void connect(const NodeId& node, transport::Address address) {
+    auto& peer = module_.peers_[node];
+    if (!peer) {
+      peer = std::make_shared<Peer>(module_.scheduler_, module_.limits_, module_.counters_, module_.links_,
+                                    node, address, module_);
+      peer->start();
+    } else if (!(module_.addresses_[node] == address)) {
+      peer->moved(address);
+    }
+    module_.addresses_[node] = address;
+  }
+  void retire(const NodeId& node) {
+    const auto found = module_.peers_.find(node);
+    if (found == module_.peers_.end()) return;
+    found->second->gone();
+    module_.peers_.erase(found);
+    module_.addresses_.erase(node);
+  }
+
+  ModuleActor& module_;
+  bool known_, whole_ = false;
+  std::set<NodeId> listed_;
+};
+
+ModuleActor::ModuleActor(Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
+                         Names names, Settings settings, std::uint64_t seed)
+    : scheduler_(scheduler),
+      limits_(limits),
+      counters_(counters),
+      log_(log),
+      names_(std::move(names)),
+      mailbox_(scheduler) {
+  Actions& actions = *this;
+  director_ = std::make_unique<Director>(clock_.now(), std::move(settings), seed, actions);
+}
+
+ModuleActor::~ModuleActor() = default;
+
+void ModuleActor::start() { scheduler_.spawn(live(*this)); }
+
+Task<> ModuleActor::live(ModuleActor& self) { co_await self.mailbox_.serve(); }
+
+void ModuleActor::change_arrived(protocol::Json change, bool known) {
+  mailbox_.post([this, change = std::move(change), known] {
+    Changes changes(*this, known);
+    protocol::read_change(change, changes);
+  });
+}
+
+void ModuleActor::pull_arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part,
+                               GroupId group, Seconds hard_stop, double size_kb, bool resent, bool is_write,
+                               std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker) {
+  ++counters_.taken;
+  counters_.open = ++open_;
+  mailbox_.post([=, this, wording = std::move(wording), asker = std::move(asker)]() mutable {
+    arrived(pull, grade, object, part, group, hard_stop, size_kb, resent, is_write, std::move(wording),
+            std::move(asker));
+  });
+}
+
+void ModuleActor::arrived(const PullId& id, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
+                          Seconds hard_stop, double size_kb, bool resent, bool is_write,
+                          std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker) {
+  if (pulls_.contains(id)) {  // an id that is not new can't be told from the first: no second answer to that
+    ++counters_.forfeited;
+    counters_.open = --open_;
+    if (const auto second = asker.lock()) second->forfeited(id);
+    return;
+  }
+  Pull pull;
+  pull.wording = std::move(wording);
+  pull.asker = std::move(asker);
+  pull.hard_stop = hard_stop;
+  // Guards against a pull that nothing would ever end; the module's own time-outs come first.
+  pull.last_resort = scheduler_.at(hard_stop + limits_.overdue, [this, id] { end_by_last_resort(id); });
+  pulls_.insert_or_assign(id, std::move(pull));
+  director_->pull_arrived(clock_.now(), id, grade, {0}, object, part, group, clock_.of_scheduler(hard_stop),
+                          size_kb, resent, is_write);
+}
+
+ModuleActor::Pull* ModuleActor::owed(const PullId& id) {
+  const auto found = pulls_.find(id);
+  return found != pulls_.end() && found->second.owed ? &found->second : nullptr;
+}
+
+void ModuleActor::answered(Pull& pull) {
+  pull.owed = false;
+  scheduler_.cancel(pull.last_resort);
+  counters_.open = --open_;
+}
+
+void ModuleActor::forget_if_quiet(const PullId& id) {
+  const auto found = pulls_.find(id);
+  if (found == pulls_.end() || found->second.owed) return;
+  const auto& outs = found->second.outs;
+  if (std::none_of(outs.begin(), outs.end(), [](const Out& out) { return out.out; })) pulls_.erase(found);
+}
+
+void ModuleActor::pull_left(const PullId& id) {
+  mailbox_.post([this, id] {
+    Pull* pull = owed(id);
+    if (!pull) return;  // its answer was on the way
+    answered(*pull);
+    ++counters_.left;
+    director_->pull_dropped(clock_.now(), id);
+    forget_if_quiet(id);
+  });
+}
+
+void ModuleActor::end_by_last_resort(const PullId& id) {
+  mailbox_.post([this, id] {
+    Pull* pull = owed(id);
+    if (!pull) return;
+    ++counters_.overdue;
+    forfeit(id);
+    director_->pull_dropped(clock_.now(), id);
+    forget_if_quiet(id);
+  });
+}
+
+void ModuleActor::ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result,
+                        Note note, Seconds waited, LoadReport report, Content content) {
+  mailbox_.post([=, this, report = std::move(report), content = std::move(content)]() mutable {
+    hand_off_ended(pull, number, node, result, note, waited, report, std::move(content));
+  });
+}
+
+void ModuleActor::hand_off_ended(const PullId& id, HandOffNumber number, const NodeId& node, Result result,
+                                 Note note, Seconds waited, const LoadReport& report, Content content) {
+  count(result);
+  const auto found = pulls_.find(id);
+  const auto place = static_cast<std::size_t>(number.value);
+  if (found == pulls_.end() || place >= found->second.outs.size()) return;
+  Pull& pull = found->second;
+  pull.outs[place].out = false;
+  if (result == Result::kCompleted && pull.owed) {
+    answered(pull);
+    ++counters_.completed;
+    if (content.same_copy) ++counters_.not_modified;
+    if (const auto asker = pull.asker.lock()) asker->completed(id, std::move(content));
+  }
+  const Seconds now = clock_.now(), spent = now - clock_.of_scheduler(pull.outs[place].sent);
+  director_->hand_off_ended(now, id, number, node, result, note, waited, spent, report, !pull.owed);
+  forget_if_quiet(id);
+}
+
+void ModuleActor::count(Result result) {
+  switch (result) {
+    case Result::kCompleted:
+      ++counters_.ended_completed;
+      break;
+    case Result::kError:
+      ++counters_.ended_error;
+      break;
+    case Result::kTurnedAway:
+      ++counters_.ended_turned_away;
+      break;
+    case Result::kTimedOut:
+      ++counters_.ended_timed_out;
+      break;
+    case Result::kUnreachable:
+      ++counters_.ended_unreachable;
+      break;
+    case Result::kBroken:
+      ++counters_.ended_broken;
+      break;
+    case Result::kCancelled:
+      ++counters_.ended_cancelled;
+      break;
+    case Result::kNotSent:
+      ++counters_.ended_not_sent;
+      break;
+    case Result::kAbsent:
+      ++counters_.ended_absent;
+      break;
+  }
+}
+
+void ModuleActor::hand_off(const PullId& id, const NodeId& node, const FillTerms& fill, Seconds time_out) {
+  Pull* pull = owed(id);
+  if (!pull) return;
+  const HandOffNumber number{static_cast<int>(pull->outs.size())};
+  const Seconds now = Scheduler::now();
+  pull->outs.push_back({node, now});
+  ++counters_.hand_offs;
+  const auto peer = peers_.find(node);
+  if (peer == peers_.end()) return ended(id, number, node, Result::kNotSent, Note::kNone, 0, {}, {});
+  const Seconds until = time_out > 0 ? std::min(now + time_out, pull->hard_stop) : pull->hard_stop;
+  peer->second->hand_off(id, number, pull->wording, fill, until);
+}
+
+void ModuleActor::cancel(const PullId& id, HandOffNumber number) {
+  const auto found = pulls_.find(id);
+  const auto place = static_cast<std::size_t>(number.value);
+  if (found == pulls_.end() || place >= found->second.outs.size()) return;
+  const auto peer = peers_.find(found->second.outs[place].node);
+  if (peer != peers_.end()) peer->second->cancel(id, number);
+}
+
+void ModuleActor::bounce(const PullId& id, Seconds come_back_in) {
+  Pull* pull = owed(id);
+  if (!pull) return;
+  answered(*pull);
+  ++counters_.bounced;
+  if (const auto asker = pull->asker.lock()) asker->bounced(id, come_back_in);
+  mailbox_.post([this, id] { forget_if_quiet(id); });
+}
+
+void ModuleActor::forfeit(const PullId& id) {
+  Pull* pull = owed(id);
+  if (!pull) return;
+  answered(*pull);
+  ++counters_.forfeited;
+  if (const auto asker = pull->asker.lock()) asker->forfeited(id);
+  mailbox_.post([this, id] { forget_if_quiet(id); });
+}
+
+void ModuleActor::wake(Seconds at, const TimerToken& token) {
+  scheduler_.at(clock_.to_scheduler(at),
+                [this, token] { mailbox_.post([this, token] { director_->woken(clock_.now(), token); }); });
+}
+
+// No deployment lets a director probe today; the module does not ask for it.
+void ModuleActor::probe(const NodeId& node) {
+  mailbox_.post([this, node] { director_->probe_ended(clock_.now(), node, Result::kNotSent, {}); });
+}
+
+// The change log is followed from the start, whatever the module asks.
+void ModuleActor::follow_list() {}
+
+void ModuleActor::log(const std::string& words) { log_.line("{}", words); }
+
+}  // namespace hareramp::routing
--- /dev/null
+++ b/src/routing/module.hpp
@@ -0,0 +1,107 @@
+// The actor of the decision module, and the only caller of Director. Whatever happens anywhere is posted
+// here; what the module wants done is posted on to the peers and to the clients.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "counters.hpp"
+#include "limits.hpp"
+#include "log.hpp"
+#include "policy.hpp"
+#include "protocol/events.hpp"
+#include "protocol/lines.hpp"
+#include "routing/peer.hpp"
+#include "transport/clock.hpp"
+#include "transport/mailbox.hpp"
+#include "transport/scheduler.hpp"
+
+namespace hareramp::routing {
+
+// Whoever asked for a pull. Gets one of these, once, and none if it has left before.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  virtual void completed(const PullId& pull, Content content) = 0;
+  virtual void bounced(const PullId& pull, Seconds come_back_in) = 0;
+  virtual void forfeited(const PullId& pull) = 0;
+};
+
+// The names that stand for indexes in the settings.
+struct Names {
+  std::vector<std::string> grades, zones, kinds;
+};
+
+class ModuleActor : public HandOffs, private Actions {
+ public:
+  ModuleActor(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
+              Names names, Settings settings, std::uint64_t seed);
+  ~ModuleActor() override;
+
+  void start();
+  std::size_t open_pulls() const { return open_; }
+
+  // From here on each call only posts.
+  void change_arrived(protocol::Json change, bool known);
+  void pull_arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
+                    Seconds hard_stop, double size_kb, bool resent, bool is_write,
+                    std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker);
+  void pull_left(const PullId& pull);
+  void ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result, Note note,
+             Seconds waited, LoadReport report, Content content) override;
+
+ private:
+  struct Out {
+    NodeId node;
+    Seconds sent = 0;
+    bool out = true;
+  };
+  struct Pull {
+    std::shared_ptr<const protocol::Wording> wording;
+    std::weak_ptr<Asker> asker;
+    Seconds hard_stop = 0;  // the scheduler's time
+    transport::Scheduler::TimerKey last_resort;
+    bool owed = true;
+    std::vector<Out> outs;
+  };
+  class Changes;
+
+  void arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
+               Seconds hard_stop, double size_kb, bool resent, bool is_write,
+               std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker);
+  void hand_off_ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result, Note note,
+                      Seconds waited, const LoadReport& report, Content content);
+  void end_by_last_resort(const PullId& pull);
+  Pull* owed(const PullId& pull);
+  void answered(Pull& pull);
+  void forget_if_quiet(const PullId& pull);
+  void count(Result result);
+  static transport::Task<> live(ModuleActor& self);
+
+  // Actions, called from within the director.
+  void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override;
+  void cancel(const PullId& pull, HandOffNumber number) override;
+  void bounce(const PullId& pull, Seconds come_back_in) override;
+  void forfeit(const PullId& pull) override;
+  void wake(Seconds at, const TimerToken& token) override;
+  void probe(const NodeId& node) override;
+  void follow_list() override;
+  void log(const std::string& words) override;
+
+  transport::Scheduler& scheduler_;
+  const Limits& limits_;
+  Counters& counters_;
+  Log& log_;
+  Names names_;
+  transport::Clock clock_;
+  transport::Mailbox mailbox_;
+  std::size_t links_ = 0, open_ = 0;
+  std::map<NodeId, std::shared_ptr<Peer>> peers_;
+  std::map<NodeId, transport::Address> addresses_;
+  std::map<PullId, Pull> pulls_;
+  std::unique_ptr<Director> director_;
+};
+
+}  // namespace hareramp::routing
--- /dev/null
+++ b/src/routing/peer.cpp
@@ -0,0 +1,285 @@
+#include "routing/peer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hareramp::routing {
+
+using transport::Io;
+using transport::IoEnd;
+using transport::kNever;
+using transport::Scheduler;
+using transport::Task;
+
+class Peer::Link : public protocol::AnswerHandler {
+ public:
+  enum class State { kConnecting, kUp, kClosed };
+
+  Link(Peer& owner, const Limits& limits)
+      : peer(owner), in(limits.buffer_kept), parser(limits.answer_line, limits.answer_body) {}
+
+  void answer(std::string_view id, Result result, Note note, Seconds waited, bool same_copy,
+              std::string_view tag, const LoadReport& report, std::string_view body) override {
+    const PullId pull{std::string(id)};
+    if (!open.contains(pull)) {
+      ++peer.counters_.late_answers;  // called off or given up while the answer was on its way
+      return;
+    }
+    peer.counters_.bytes_filled += body.size();
+    peer.end(self.lock(), pull, result, note, waited, report,
+             Content{same_copy, std::string(tag), std::string(body)});
+  }
+
+  Peer& peer;
+  std::weak_ptr<Link> self;
+  State state = State::kConnecting;
+  transport::Socket socket;
+  transport::Buffer in;
+  protocol::AnswerParser parser;
+  std::deque<Piece> out;
+  std::size_t out_sent = 0;  // bytes of the first piece that are written
+  bool draining = false, retiring = false, doubted = false;
+  std::map<PullId, Open> open;
+  std::map<PullId, Seconds> given_up;  // when: an answer to one of these may still come
+  Seconds heard_at = 0;
+  std::uint64_t idle_round = 0;
+};
+
+Peer::Peer(Scheduler& scheduler, const Limits& limits, Counters& counters, std::size_t& links, NodeId node,
+           transport::Address address, HandOffs& told)
+    : scheduler_(scheduler),
+      limits_(limits),
+      counters_(counters),
+      links_held_(links),
+      node_(std::move(node)),
+      address_(address),
+      told_(told),
+      mailbox_(scheduler) {}
+
+void Peer::start() { scheduler_.spawn(live(shared_from_this())); }
+
+Task<> Peer::live(std::shared_ptr<Peer> self) { co_await self->mailbox_.serve(); }
+
+void Peer::hand_off(const PullId& pull, HandOffNumber number,
+                    std::shared_ptr<const protocol::Wording> wording, const FillTerms& fill,
+                    Seconds give_up_at) {
+  mailbox_.post([this, pull, number, wording = std::move(wording), fill, give_up_at] {
+    send(pull, number, *wording, fill, give_up_at);
+  });
+}
+
+void Peer::cancel(const PullId& pull, HandOffNumber number) {
+  mailbox_.post([this, pull, number] { give_up(pull, number, Result::kCancelled); });
+}
+
+// What is out stays with the old address until it ends; only new work goes to the new one.
+void Peer::moved(transport::Address address) {
+  mailbox_.post([this, address] {
+    address_ = address;
+    for (const LinkPointer& link : std::list<LinkPointer>(links_)) {
+      link->retiring = true;
+      settle(link);
+    }
+  });
+}
+
+void Peer::gone() {
+  mailbox_.post([this] {
+    gone_ = true;
+    for (const LinkPointer& link : std::list<LinkPointer>(links_)) settle(link);
+    if (links_.empty()) mailbox_.close();
+  });
+}
+
+// A connection that may carry this pull. The same id may not be there twice, also not while an answer to an
+// earlier hand-off may still come: nothing on the wire would tell the two apart.
+Peer::LinkPointer Peer::choose_link(const PullId& pull) {
+  const Seconds old = Scheduler::now() - limits_.link_idle;
+  for (const LinkPointer& link : links_) {
+    if (link->retiring || link->doubted || link->open.size() >= limits_.streams_per_link) continue;
+    std::erase_if(link->given_up, [&](const auto& entry) { return entry.second < old; });
+    if (!link->open.contains(pull) && !link->given_up.contains(pull)) return link;
+  }
+  if (links_.size() >= limits_.links_per_node || links_held_ >= limits_.links) return nullptr;
+  const auto link = std::make_shared<Link>(*this, limits_);
+  link->self = link;
+  links_.push_back(link);
+  ++links_held_;
+  scheduler_.spawn(run(shared_from_this(), link));
+  return link;
+}
+
+void Peer::send(const PullId& pull, HandOffNumber number, const protocol::Wording& wording,
+                const FillTerms& fill, Seconds give_up_at) {
+  const LinkPointer link = choose_link(pull);
+  if (!link) return told_.ended(pull, number, node_, Result::kNotSent, Note::kNone, 0, {}, {});
+  Open open;
+  open.number = number;
+  open.timer = scheduler_.at(give_up_at, [weak = weak_from_this(), pull, number] {
+    if (const auto peer = weak.lock()) peer->give_up(pull, number, Result::kTimedOut);
+  });
+  link->open.emplace(pull, open);
+  link->out.push_back(
+      {protocol::serve_line(pull, wording, give_up_at - Scheduler::now(), node_, fill), pull});
+  pump(link);
+}
+
+void Peer::give_up(const PullId& pull, HandOffNumber number, Result result) {
+  for (const LinkPointer& link : std::list<LinkPointer>(links_)) {
+    const auto found = link->open.find(pull);
+    if (found == link->open.end() || found->second.number != number) continue;
+    const Open open = found->second;
+    if (!open.written) {
+      // It has not come whole to the node, so it never ran. If a part of it is on the way, the node must not
+      // get the rest: the connection goes, and what else was out on it may have run.
+      const bool begun = link->out_sent > 0 && link->out.front().pull == pull;
+      const bool up = link->state == Link::State::kUp;
+      end(link, pull, result == Result::kTimedOut && !up ? Result::kUnreachable : Result::kNotSent,
+          Note::kNone, 0, {}, {});
+      if (begun) return drop(link);
+      std::erase_if(link->out, [&](const Piece& piece) { return piece.pull == pull; });
+      return settle(link);
+    }
+    const Seconds now = Scheduler::now();
+    link->given_up[pull] = now;
+    link->out.push_back({protocol::cancel_line(pull), {}});
+    // Guards against a node that vanished without a word: its connections look open for ever. Also meets a
+    // path that went dead. Costs a connection set up anew where a node was only slow.
+    if (link->heard_at < open.written_at && now - open.written_at > limits_.link_doubt) {
+      link->doubted = true;
+      ++counters_.links_doubted;
+    }
+    end(link, pull, result, Note::kNone, 0, {}, {});
+    if (link->state == Link::State::kUp) pump(link);
+    return;
+  }
+}
+
+void Peer::end(const LinkPointer& link, const PullId& pull, Result result, Note note, Seconds waited,
+               LoadReport report, Content content) {
+  const auto found = link->open.find(pull);
+  const HandOffNumber number = found->second.number;
+  scheduler_.cancel(found->second.timer);
+  link->open.erase(found);
+  told_.ended(pull, number, node_, result, note, waited, std::move(report), std::move(content));
+  settle(link);
+}
+
+// A connection with nothing out closes if it is not to be used again, and else after a while, before the
+// node does: a hand-off that crosses the node's close would count as one that may have run.
+void Peer::settle(const LinkPointer& link) {
+  if (link->state != Link::State::kUp || !link->open.empty()) return;
+  if (link->retiring || link->doubted || gone_) {
+    scheduler_.at(Scheduler::now(), [peer = shared_from_this(), link] {
+      if (link->open.empty()) peer->drop(link);
+    });
+    return;
+  }
+  const std::uint64_t round = ++link->idle_round;
+  scheduler_.at(Scheduler::now() + limits_.link_idle, [weak = weak_from_this(), link, round] {
+    const auto peer = weak.lock();
+    if (!peer || link->state != Link::State::kUp || !link->open.empty() || link->idle_round != round) return;
+    ++peer->counters_.links_idle;
+    peer->drop(link);
+  });
+}
+
+// Ends the connection; what is out on it ends by what is known of it.
+void Peer::drop(const LinkPointer& link) {
+  if (link->state == Link::State::kClosed) return;
+  link->state = Link::State::kClosed;
+  link->socket.close();
+  if (!link->open.empty()) ++counters_.links_broken;
+  forget(link);
+  end_all(link, Result::kBroken, Result::kNotSent);
+}
+
+void Peer::forget(const LinkPointer& link) {
+  links_.remove(link);
+  --links_held_;
+  if (gone_ && links_.empty()) mailbox_.close();
+}
+
+void Peer::end_all(const LinkPointer& link, Result written, Result unwritten) {
+  while (!link->open.empty()) {
+    const auto& [pull, open] = *link->open.begin();
+    end(link, PullId(pull), open.written ? written : unwritten, Note::kNone, 0, {}, {});
+  }
+  link->out.clear();
+}
+
+// Notes what has been written whole. True if nothing is left to write.
+bool Peer::wrote(Link& link, std::size_t bytes) {
+  link.out_sent += bytes;
+  while (!link.out.empty() && link.out_sent >= link.out.front().bytes.size()) {
+    link.out_sent -= link.out.front().bytes.size();
+    const auto found = link.open.find(link.out.front().pull);
+    if (found != link.open.end()) {
+      found->second.written = true;
+      found->second.written_at = Scheduler::now();
+    }
+    link.out.pop_front();
+  }
+  return link.out.empty();
+}
+
+void Peer::pump(const LinkPointer& link) {
+  if (link->state != Link::State::kUp || link->draining) return;
+  while (!link->out.empty()) {
+    const Io io = link->socket.write_now(std::string_view(link->out.front().bytes).substr(link->out_sent));
+    wrote(*link, io.bytes);
+    if (io.ok()) continue;
+    if (io.end == IoEnd::kTimedOut) {
+      link->draining = true;
+      scheduler_.spawn(drain(shared_from_this(), link));
+    }
+    return;  // broken: the reading side ends the connection, after what the node still had to say
+  }
+}
+
+Task<> Peer::drain(std::shared_ptr<Peer> self, LinkPointer link) {
+  while (link->state == Link::State::kUp && !link->out.empty()) {
+    if (co_await link->socket.writable(kNever) != transport::Wake::kReady) break;
+    if (link->out.empty()) break;  // it was called off meanwhile
+    const Io io = link->socket.write_now(std::string_view(link->out.front().bytes).substr(link->out_sent));
+    self->wrote(*link, io.bytes);
+    if (io.end != IoEnd::kDone && io.end != IoEnd::kTimedOut) break;
+  }
+  link->draining = false;
+  self->pump(link);
+}
+
+Task<> Peer::run(std::shared_ptr<Peer> self, LinkPointer link) {
+  const Seconds until = Scheduler::now() + self->limits_.connect;
+  transport::Connected connected = co_await transport::connect(self->scheduler_, self->address_, until);
+  if (connected.end != transport::ConnectEnd::kUp) {
+    ++self->counters_.links_failed;
+    const bool ours = connected.end == transport::ConnectEnd::kNoDescriptor;
+    link->state = Link::State::kClosed;
+    self->forget(link);
+    self->end_all(link, Result::kBroken, ours ? Result::kNotSent : Result::kUnreachable);
+    co_return;
+  }
+  ++self->counters_.links_opened;
+  link->socket = std::move(connected.socket);
+  link->state = Link::State::kUp;
+  link->heard_at = Scheduler::now();
+  self->pump(link);
+  self->settle(link);
+  while (link->state == Link::State::kUp) {
+    const std::size_t room = std::max(self->limits_.read_room, link->parser.wanted());
+    const Io io = co_await link->socket.read(link->in, room, kNever);
+    if (!io.ok()) break;
+    link->heard_at = Scheduler::now();
+    link->doubted = false;
+    std::size_t used = 0;
+    const bool readable = link->parser.feed(link->in.view(), used, *link);
+    link->in.consume(used);
+    if (readable) continue;
+    ++self->counters_.bad_answers;
+    break;
+  }
+  self->drop(link);
+}
+
+}  // namespace hareramp::routing
--- /dev/null
+++ b/src/routing/peer.hpp
@@ -0,0 +1,92 @@
+// The actor of one node: a cache, a parent or the origin. Carries hand-offs to it over a few connections
+// that each hold many, and tells how each ended by what is known to have run.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "counters.hpp"
+#include "limits.hpp"
+#include "policy.hpp"
+#include "protocol/lines.hpp"
+#include "transport/buffer.hpp"
+#include "transport/mailbox.hpp"
+#include "transport/scheduler.hpp"
+#include "transport/socket.hpp"
+
+namespace hareramp::routing {
+
+// What a node sent for a pull.
+struct Content {
+  bool same_copy = false;  // the client's copy is the one; no bytes
+  std::string tag, bytes;
+};
+
+class HandOffs {
+ public:
+  virtual ~HandOffs() = default;
+  // The one end of a hand-off.
+  virtual void ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result, Note note,
+                     Seconds waited, LoadReport report, Content content) = 0;
+};
+
+class Peer : public std::enable_shared_from_this<Peer> {
+ public:
+  // links counts the connections to all nodes together.
+  Peer(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, std::size_t& links,
+       NodeId node, transport::Address address, HandOffs& told);
+
+  void start();
+  // Each of these only posts; the actor acts on them in order.
+  void hand_off(const PullId& pull, HandOffNumber number, std::shared_ptr<const protocol::Wording> wording,
+                const FillTerms& fill, Seconds give_up_at);
+  void cancel(const PullId& pull, HandOffNumber number);
+  void moved(transport::Address address);
+  void gone();  // nothing new will come; connections close as their work ends
+
+ private:
+  struct Open {
+    HandOffNumber number;
+    transport::Scheduler::TimerKey timer;
+    Seconds written_at = 0;
+    bool written = false;
+  };
+  struct Piece {
+    std::string bytes;
+    PullId pull;  // empty: a cancel, which nobody waits for
+  };
+  class Link;
+  using LinkPointer = std::shared_ptr<Link>;
+
+  LinkPointer choose_link(const PullId& pull);
+  void send(const PullId& pull, HandOffNumber number, const protocol::Wording& wording, const FillTerms& fill,
+            Seconds give_up_at);
+  void give_up(const PullId& pull, HandOffNumber number, Result result);
+  void end(const LinkPointer& link, const PullId& pull, Result result, Note note, Seconds waited,
+           LoadReport report, Content content);
+  void end_all(const LinkPointer& link, Result written, Result unwritten);
+  void drop(const LinkPointer& link);
+  void forget(const LinkPointer& link);
+  void settle(const LinkPointer& link);
+  void pump(const LinkPointer& link);
+  bool wrote(Link& link, std::size_t bytes);
+  static transport::Task<> live(std::shared_ptr<Peer> self);
+  static transport::Task<> run(std::shared_ptr<Peer> self, LinkPointer link);
+  static transport::Task<> drain(std::shared_ptr<Peer> self, LinkPointer link);
+
+  transport::Scheduler& scheduler_;
+  const Limits& limits_;
+  Counters& counters_;
+  std::size_t& links_held_;
+  NodeId node_;
+  transport::Address address_;
+  HandOffs& told_;
+  transport::Mailbox mailbox_;
+  std::list<LinkPointer> links_;
+  bool gone_ = false;
+};
+
+}  // namespace hareramp::routing
--- /dev/null
+++ b/src/transport/scheduler.cpp
@@ -0,0 +1,149 @@
+#include "transport/scheduler.hpp"
+
+#include <sys/epoll.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cmath>
+#include <system_error>
+
+namespace hareramp::transport {
+
+namespace {
+constexpr int kEventsAtOnce = 128;
+}
+
+Scheduler::Scheduler() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+  if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+// Frames hold sockets and mailboxes whose watches lead back here, so they go first.
+Scheduler::~Scheduler() {
+  ready_.clear();
+  timers_.clear();
+  spawned_.clear();
+  ::close(epoll_);
+}
+
+Seconds Scheduler::now() {
+  timespec time{};
+  clock_gettime(CLOCK_MONOTONIC, &time);
+  return static_cast<Seconds>(time.tv_sec) + static_cast<Seconds>(time.tv_nsec) * 1e-9;
+}
+
+void Scheduler::spawn(Task<> task) {
+  task.handle().promise().done = &any_done_;
+  resume_soon(task.handle());
+  spawned_.push_back(std::move(task));
+}
+
+Scheduler::TimerKey Scheduler::at(Seconds when, Call what) {
+  const TimerKey key{when, ++timers_made_};
+  timers_.emplace(key, std::move(what));
+  return key;
+}
+
+void Scheduler::run() {
+  while (!stopped_) {
+    run_ready();
+    if (stopped_ || (ready_.empty() && timers_.empty() && watched_ == 0)) return;
+    wait_for_sockets();
+    while (!timers_.empty() && timers_.begin()->first.first <= now()) {
+      Call what = std::move(timers_.begin()->second);
+      timers_.erase(timers_.begin());
+      what();
+    }
+  }
+}
+
+// Only what is ready now: coroutines that wake each other in turns must not keep sockets waiting.
+void Scheduler::run_ready() {
+  for (std::size_t left = ready_.size(); left > 0 && !stopped_; --left) {
+    const auto handle = ready_.front();
+    ready_.pop_front();
+    handle.resume();
+    clear_away();
+  }
+}
+
+void Scheduler::clear_away() {
+  if (!std::exchange(any_done_, false)) return;
+  for (auto task = spawned_.begin(); task != spawned_.end();) {
+    if (!task->handle().done()) {
+      ++task;
+      continue;
+    }
+    const std::exception_ptr failure = task->handle().promise().failure;
+    task = spawned_.erase(task);
+    if (failure && on_failure) on_failure(failure);
+  }
+}
+
+void Scheduler::wait_for_sockets() {
+  Seconds pause = -1;
+  if (!ready_.empty()) {
+    pause = 0;
+  } else if (!timers_.empty()) {
+    pause = std::max(0.0, timers_.begin()->first.first - now());
+  }
+  std::array<epoll_event, kEventsAtOnce> events;
+  timespec wait{};
+  if (pause >= 0) {
+    const double whole = std::floor(std::min(pause, 3600.0));
+    wait.tv_sec = static_cast<time_t>(whole);
+    wait.tv_nsec = static_cast<long>(std::min((std::min(pause, 3600.0) - whole) * 1e9, 999999999.0));
+  }
+  int count = epoll_pwait2(epoll_, events.data(), kEventsAtOnce, pause >= 0 ? &wait : nullptr, nullptr);
+  if (count < 0 && errno == ENOSYS)  // a kernel before 5.11: whole milliseconds, rounded up
+    count = epoll_wait(epoll_, events.data(), kEventsAtOnce,
+                       pause >= 0 ? static_cast<int>(std::ceil(std::min(pause, 3600.0) * 1000)) : -1);
+  // A watch can't vanish between here and the last event: coroutines run only later.
+  for (int i = 0; i < count; ++i) {
+    auto& watch = *static_cast<Watch*>(events[i].data.ptr);
+    constexpr auto kEnded = EPOLLERR | EPOLLHUP;
+    if (events[i].events & (EPOLLIN | EPOLLRDHUP | kEnded)) watch.wake(watch.reading_, Wake::kReady);
+    if (events[i].events & (EPOLLOUT | kEnded)) watch.wake(watch.writing_, Wake::kReady);
+  }
+}
+
+Watch::Watch(Scheduler& scheduler, int descriptor) : scheduler_(scheduler), descriptor_(descriptor) {
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.ptr = this;
+  if (epoll_ctl(scheduler.epoll_, EPOLL_CTL_ADD, descriptor, &event) != 0)
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  ++scheduler_.watched_;
+}
+
+Watch::~Watch() { close(); }
+
+void Watch::close() {
+  if (closed_) return;
+  closed_ = true;
+  epoll_ctl(scheduler_.epoll_, EPOLL_CTL_DEL, descriptor_, nullptr);
+  --scheduler_.watched_;
+  wake(reading_, Wake::kClosed);
+  wake(writing_, Wake::kClosed);
+}
+
+void Watch::Wait::await_suspend(std::coroutine_handle<> handle) {
+  side.waiting = handle;
+  side.timed = until < kNever;
+  if (side.timed)
+    side.timer = watch.scheduler_.at(until, [this_watch = &watch, this_side = &side] {
+      this_side->timed = false;
+      this_watch->wake(*this_side, Wake::kTimedOut);
+    });
+}
+
+void Watch::wake(Side& side, Wake result) {
+  if (!side.waiting) return;
+  if (std::exchange(side.timed, false)) scheduler_.cancel(side.timer);
+  side.result = result;
+  scheduler_.resume_soon(std::exchange(side.waiting, {}));
+}
+
+}  // namespace hareramp::transport
--- /dev/null
+++ b/src/transport/scheduler.hpp
@@ -0,0 +1,117 @@
+// One thread, one epoll: runs coroutines that are ready, fires timers, and waits for sockets. Everything that
+// the director does happens inside Scheduler::run.
+#pragma once
+
+#include <coroutine>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <limits>
+#include <list>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "transport/call.hpp"
+#include "transport/task.hpp"
+
+namespace hareramp::transport {
+
+using Seconds = double;
+constexpr Seconds kNever = std::numeric_limits<Seconds>::infinity();
+
+class Scheduler {
+ public:
+  using TimerKey = std::pair<Seconds, std::uint64_t>;
+
+  Scheduler();
+  ~Scheduler();
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  // Seconds on a clock that only goes forward; a step of the system's clock does not move it.
+  static Seconds now();
+
+  // Runs a task to its end beside the others. What it throws goes to on_failure.
+  void spawn(Task<> task);
+  void resume_soon(std::coroutine_handle<> handle) { ready_.push_back(handle); }
+
+  TimerKey at(Seconds when, Call what);
+  void cancel(const TimerKey& timer) { timers_.erase(timer); }
+
+  void run();  // until stop() is called, or nothing is left that could ever happen
+  void stop() { stopped_ = true; }
+
+  auto sleep_until(Seconds when) {
+    struct Sleep {
+      Scheduler& scheduler;
+      Seconds when;
+      bool await_ready() const noexcept { return false; }
+      void await_suspend(std::coroutine_handle<> handle) {
+        scheduler.at(when, [&to = scheduler, handle] { to.resume_soon(handle); });
+      }
+      void await_resume() const noexcept {}
+    };
+    return Sleep{*this, when};
+  }
+
+  std::function<void(std::exception_ptr)> on_failure;
+
+ private:
+  friend class Watch;
+  void run_ready();
+  void clear_away();
+  void wait_for_sockets();
+
+  int epoll_;
+  bool stopped_ = false;
+  std::size_t watched_ = 0;
+  std::uint64_t timers_made_ = 0;
+  std::deque<std::coroutine_handle<>> ready_;
+  std::map<TimerKey, Call> timers_;
+  std::list<Task<>> spawned_;
+  bool any_done_ = false;
+};
+
+enum class Wake { kReady, kTimedOut, kClosed };
+
+// One descriptor in the scheduler's epoll. At most one coroutine waits for each direction. The watch is
+// edge-triggered: try the call first, and wait only after it said that it would block.
+class Watch {
+ public:
+  Watch(Scheduler& scheduler, int descriptor);
+  ~Watch();
+  Watch(const Watch&) = delete;
+  Watch& operator=(const Watch&) = delete;
+
+  struct Side {
+    std::coroutine_handle<> waiting;
+    Scheduler::TimerKey timer{};
+    bool timed = false;
+    Wake result = Wake::kReady;
+  };
+  struct Wait {
+    Watch& watch;
+    Side& side;
+    Seconds until;
+    bool await_ready() const noexcept { return watch.closed_; }
+    void await_suspend(std::coroutine_handle<> handle);
+    Wake await_resume() const noexcept { return watch.closed_ ? Wake::kClosed : side.result; }
+  };
+  Wait readable(Seconds until) { return {*this, reading_, until}; }
+  Wait writable(Seconds until) { return {*this, writing_, until}; }
+
+  // Whoever waits is woken with kClosed, and nobody can wait any more.
+  void close();
+
+ private:
+  friend class Scheduler;
+  void wake(Side& side, Wake result);
+
+  Scheduler& scheduler_;
+  int descriptor_;
+  bool closed_ = false;
+  Side reading_, writing_;
+};
+
+}  // namespace hareramp::transport
--- /dev/null
+++ b/src/transport/signals.hpp
@@ -0,0 +1,27 @@
+// Signals of the system, read in turn with everything else.
+#pragma once
+
+#include <initializer_list>
+#include <memory>
+
+#include "transport/scheduler.hpp"
+#include "transport/task.hpp"
+
+namespace hareramp::transport {
+
+class Signals {
+ public:
+  // From now on these come here and nowhere else.
+  Signals(Scheduler& scheduler, std::initializer_list<int> which);
+  ~Signals();
+  Signals(const Signals&) = delete;
+  Signals& operator=(const Signals&) = delete;
+
+  Task<int> next();
+
+ private:
+  int descriptor_;
+  std::unique_ptr<Watch> watch_;
+};
+
+}  // namespace hareramp::transport
--- /dev/null
+++ b/src/transport/task.hpp
@@ -0,0 +1,99 @@
+// A coroutine that starts when it is awaited (or spawned on the scheduler) and hands its result, or the
+// exception that ended it, to whoever awaits it. The Task owns the coroutine's frame.
+#pragma once
+
+#include <coroutine>
+#include <exception>
+#include <optional>
+#include <utility>
+
+namespace hareramp::transport {
+
+template <class Value = void>
+class Task;
+
+namespace detail {
+
+struct PromiseBase {
+  std::coroutine_handle<> awaiting;
+  std::exception_ptr failure;
+  bool* done = nullptr;  // set at the end of a spawned task, for the scheduler to clear away
+
+  struct Final {
+    bool await_ready() const noexcept { return false; }
+    template <class Promise>
+    std::coroutine_handle<> await_suspend(std::coroutine_handle<Promise> self) noexcept {
+      PromiseBase& promise = self.promise();
+      if (promise.done) *promise.done = true;
+      return promise.awaiting ? promise.awaiting : std::noop_coroutine();
+    }
+    void await_resume() const noexcept {}
+  };
+  std::suspend_always initial_suspend() const noexcept { return {}; }
+  Final final_suspend() const noexcept { return {}; }
+  void unhandled_exception() noexcept { failure = std::current_exception(); }
+};
+
+template <class Value>
+struct Promise : PromiseBase {
+  std::optional<Value> value;
+  Task<Value> get_return_object();
+  void return_value(Value given) { value.emplace(std::move(given)); }
+  Value take() {
+    if (failure) std::rethrow_exception(failure);
+    return std::move(*value);
+  }
+};
+
+template <>
+struct Promise<void> : PromiseBase {
+  Task<void> get_return_object();
+  void return_void() const noexcept {}
+  void take() const {
+    if (failure) std::rethrow_exception(failure);
+  }
+};
+
+}  // namespace detail
+
+template <class Value>
+class [[nodiscard]] Task {
+ public:
+  using promise_type = detail::Promise<Value>;
+  using Handle = std::coroutine_handle<promise_type>;
+
+  Task() = default;
+  explicit Task(Handle handle) : handle_(handle) {}
+  Task(Task&& other) noexcept : handle_(std::exchange(other.handle_, {})) {}
+  Task& operator=(Task&& other) noexcept {
+    std::swap(handle_, other.handle_);
+    return *this;
+  }
+  ~Task() {
+    if (handle_) handle_.destroy();
+  }
+
+  Handle handle() const { return handle_; }
+
+  bool await_ready() const noexcept { return false; }
+  std::coroutine_handle<> await_suspend(std::coroutine_handle<> awaiting) noexcept {
+    handle_.promise().awaiting = awaiting;
+    return handle_;
+  }
+  Value await_resume() { return handle_.promise().take(); }
+
+ private:
+  Handle handle_;
+};
+
+namespace detail {
+template <class Value>
+Task<Value> Promise<Value>::get_return_object() {
+  return Task<Value>(std::coroutine_handle<Promise>::from_promise(*this));
+}
+inline Task<void> Promise<void>::get_return_object() {
+  return Task<void>(std::coroutine_handle<Promise>::from_promise(*this));
+}
+}  // namespace detail
+
+}  // namespace hareramp::transport
