--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -116,34 +116,43 @@
 // --- reading ---
 
 Task<> Client::read(std::shared_ptr<Client> self) {
-  const Limits& limits = self->front_.limits_;
-  while (!self->ended_) {
-    if (self->in_.size() >= limits.read_ahead && !self->closing_) {  // reading pauses
-      co_await self->resumed_.wait();
+  try {
+    co_await self->read_on();
+  } catch (...) {  // the connection goes, and the loop tells of it
+    self->leave();
+    throw;
+  }
+  self->leave();
+}
+
+Task<> Client::read_on() {
+  const Limits& limits = front_.limits_;
+  while (!ended_) {
+    if (in_.size() >= limits.read_ahead && busy_) {  // reading pauses until the answer is out
+      co_await resumed_.wait();
       continue;
     }
-    const Seconds patience = self->closing_ && !self->busy_ ? limits.linger
-                             : self->parser_.begun()        ? limits.request_whole
-                                                            : limits.client_idle;
-    const Io io = co_await self->socket_.read(self->in_, limits.read_room, self->moved_at_ + patience);
-    if (self->ended_) break;
+    const Seconds patience = closing_ && !busy_ ? limits.linger
+                             : parser_.begun()  ? limits.request_whole
+                                                : limits.client_idle;
+    const Io io = co_await socket_.read(in_, limits.read_room, moved_at_ + patience);
+    if (ended_) break;
     if (io.end == IoEnd::kTimedOut) {
-      if (self->busy_) {
-        self->moved_at_ = Scheduler::now();
-      } else if (Scheduler::now() < self->moved_at_ + patience) {
+      if (busy_) {
+        moved_at_ = Scheduler::now();
+      } else if (Scheduler::now() < moved_at_ + patience) {
         continue;  // something was answered meanwhile
-      } else if (!self->closing_ && self->parser_.begun()) {
-        self->refuse(408);
+      } else if (!closing_ && parser_.begun()) {
+        refuse(408);
       } else {
         break;
       }
       continue;
     }
     if (!io.ok()) break;
-    if (!self->parser_.begun()) self->moved_at_ = Scheduler::now();
-    self->advance();
+    if (!parser_.begun()) moved_at_ = Scheduler::now();
+    advance();
   }
-  self->leave();
 }
 
 // Reads on in what has come in. Stops at a whole request, until that is answered.
@@ -320,7 +329,11 @@
   self->front_.waiting_answers_ += size;
   head += bytes;  // one write: a client that reads the head finds the body with it
   bytes = std::string();
-  const Io io = co_await self->socket_.write(head, until);
+  Io io{IoEnd::kBroken, 0};
+  try {
+    io = co_await self->socket_.write(head, until);
+  } catch (...) {  // as a connection that broke: the client can tell
+  }
   self->front_.waiting_answers_ -= size;
   if (self->ended_) co_return;
   if (!io.ok()) {
--- a/src/routing/front.hpp
+++ b/src/routing/front.hpp
@@ -89,6 +89,7 @@
   void leave();
   static transport::Task<> live(std::shared_ptr<Client> self);
   static transport::Task<> read(std::shared_ptr<Client> self);
+  transport::Task<> read_on();
   static transport::Task<> write(std::shared_ptr<Client> self, std::string head, std::string bytes);
 
   Front& front_;
--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -42,7 +42,8 @@
   std::map<PullId, Open> open;
   std::map<PullId, Seconds> given_up;  // when: an answer to one of these may still come
   Seconds heard_at = 0;
-  std::uint64_t idle_round = 0;
+  Seconds idle_since = 0;
+  bool idle_watched = false;
 };
 
 Peer::Peer(Scheduler& scheduler, const Limits& limits, Counters& counters, std::size_t& links, NodeId node,
@@ -176,10 +177,20 @@
     });
     return;
   }
-  const std::uint64_t round = ++link->idle_round;
-  scheduler_.at(Scheduler::now() + limits_.link_idle, [weak = weak_from_this(), link, round] {
+  link->idle_since = Scheduler::now();
+  if (!std::exchange(link->idle_watched, true)) watch_idle(link, link->idle_since + limits_.link_idle);
+}
+
+void Peer::watch_idle(const LinkPointer& link, Seconds until) {
+  scheduler_.at(until, [weak = weak_from_this(), link] {
     const auto peer = weak.lock();
-    if (!peer || link->state != Link::State::kUp || !link->open.empty() || link->idle_round != round) return;
+    link->idle_watched = false;
+    if (!peer || link->state != Link::State::kUp || !link->open.empty()) return;
+    const Seconds due = link->idle_since + peer->limits_.link_idle;
+    if (Scheduler::now() < due) {
+      link->idle_watched = true;
+      return peer->watch_idle(link, due);
+    }
     ++peer->counters_.links_idle;
     peer->drop(link);
   });
@@ -262,24 +273,34 @@
 }
 
 Task<> Peer::run(std::shared_ptr<Peer> self, LinkPointer link) {
-  const Seconds until = Scheduler::now() + self->limits_.connect;
-  transport::Connected connected = co_await transport::connect(self->scheduler_, self->address_, until);
+  try {
+    co_await self->follow(link);
+  } catch (...) {  // no memory for what came in, say: the connection goes, and the loop tells of it
+    self->drop(link);
+    throw;
+  }
+  self->drop(link);
+}
+
+Task<> Peer::follow(LinkPointer link) {
+  const Seconds until = Scheduler::now() + limits_.connect;
+  transport::Connected connected = co_await transport::connect(scheduler_, address_, until);
   if (connected.end != transport::ConnectEnd::kUp) {
-    ++self->counters_.links_failed;
+    ++counters_.links_failed;
     const bool ours = connected.end == transport::ConnectEnd::kNoDescriptor;
     link->state = Link::State::kClosed;
-    self->forget(link);
-    self->end_all(link, Result::kBroken, ours ? Result::kNotSent : Result::kUnreachable);
+    forget(link);
+    end_all(link, Result::kBroken, ours ? Result::kNotSent : Result::kUnreachable);
     co_return;
   }
-  ++self->counters_.links_opened;
+  ++counters_.links_opened;
   link->socket = std::move(connected.socket);
   link->state = Link::State::kUp;
   link->heard_at = Scheduler::now();
-  self->pump(link);
-  self->settle(link);
+  pump(link);
+  settle(link);
   while (link->state == Link::State::kUp) {
-    const std::size_t room = std::max(self->limits_.read_room, link->parser.wanted());
+    const std::size_t room = std::max(limits_.read_room, link->parser.wanted());
     const Io io = co_await link->socket.read(link->in, room, kNever);
     if (!io.ok()) break;
     link->heard_at = Scheduler::now();
@@ -288,10 +309,9 @@
     const bool readable = link->parser.feed(link->in.view(), used, *link);
     link->in.consume(used);
     if (readable) continue;
-    ++self->counters_.bad_answers;
+    ++counters_.bad_answers;
     break;
   }
-  self->drop(link);
 }
 
 }  // namespace hareramp::routing
--- a/src/routing/peer.hpp
+++ b/src/routing/peer.hpp
@@ -76,7 +76,9 @@
   void pump(const LinkPointer& link);
   bool wrote(Link& link, std::size_t bytes);
   static transport::Task<> live(std::shared_ptr<Peer> self);
+  void watch_idle(const LinkPointer& link, Seconds until);
   static transport::Task<> run(std::shared_ptr<Peer> self, LinkPointer link);
+  transport::Task<> follow(LinkPointer link);
   static transport::Task<> drain(std::shared_ptr<Peer> self, LinkPointer link);
 
   transport::Scheduler& scheduler_;
--- a/src/transport/mailbox.hpp
+++ b/src/transport/mailbox.hpp
@@ -32,7 +32,7 @@
 
   // The actor's life: carries out each call until the mailbox is closed and empty.
   Task<> serve() {
-    for (Call call = co_await next(); call; call = co_await next()) call();
+    for (Call call = co_await next(); call; call = co_await next()) scheduler_.run_guarded(call);
   }
 
  private:
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -55,11 +55,28 @@
     while (!timers_.empty() && timers_.begin()->first.first <= now()) {
       Call what = std::move(timers_.begin()->second);
       timers_.erase(timers_.begin());
-      what();
+      run_guarded(what);
     }
   }
 }
 
+// Guards against one actor's failure, of memory above all, that would take everything down with it. It hurts
+// where state was left half changed; what such a call had begun is ended by the time-outs that stand anyway.
+void Scheduler::run_guarded(Call& call) noexcept {
+  try {
+    call();
+  } catch (...) {
+    tell(std::current_exception());
+  }
+}
+
+void Scheduler::tell(const std::exception_ptr& failure) noexcept {
+  try {
+    if (failure && on_failure) on_failure(failure);
+  } catch (...) {  // to tell it failed as well; there is nobody left to be told
+  }
+}
+
 // Only what is ready now: coroutines that wake each other in turns must not keep sockets waiting.
 void Scheduler::run_ready() {
   for (std::size_t left = ready_.size(); left > 0 && !stopped_; --left) {
@@ -79,7 +96,7 @@
     }
     const std::exception_ptr failure = task->handle().promise().failure;
     task = spawned_.erase(task);
-    if (failure && on_failure) on_failure(failure);
+    tell(failure);
   }
 }
 
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -55,11 +55,15 @@
     return Sleep{*this, when};
   }
 
+  // Carries a call out; what it throws goes to on_failure, and the loop goes on.
+  void run_guarded(Call& call) noexcept;
+
   std::function<void(std::exception_ptr)> on_failure;
 
  private:
   friend class Watch;
   void run_ready();
+  void tell(const std::exception_ptr& failure) noexcept;
   void clear_away();
   void wait_for_sockets();
 
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -120,11 +120,14 @@
 Task<Connected> connect(Scheduler& scheduler, Address to, Seconds until) {
   Connected connected;
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (descriptor < 0) {
-    connected.end = ConnectEnd::kNoDescriptor;
+  connected.end = ConnectEnd::kNoDescriptor;
+  if (descriptor < 0) co_return connected;
+  try {
+    connected.socket = Socket(scheduler, descriptor);
+  } catch (const std::system_error&) {
     co_return connected;
   }
-  connected.socket = Socket(scheduler, descriptor);
+  connected.end = ConnectEnd::kRefused;
   const int on = 1;
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   const auto* raw = reinterpret_cast<const sockaddr*>(&to.raw());
@@ -168,8 +171,12 @@
     if (descriptor >= 0) {
       const int on = 1;
       setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      accepted.socket = Socket(scheduler_, descriptor);
-      accepted.end = End::kTaken;
+      try {
+        accepted.socket = Socket(scheduler_, descriptor);
+        accepted.end = End::kTaken;
+      } catch (const std::system_error&) {  // it can't be watched: as if there were no descriptor
+        accepted.end = End::kNoDescriptor;
+      }
       co_return accepted;
     }
     if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
