--- a/src/routing/change_log.cpp
+++ b/src/routing/change_log.cpp
@@ -1,6 +1,7 @@
 #include "routing/change_log.hpp"
 
 #include <charconv>
+#include <exception>
 #include <limits>
 #include <utility>
 
@@ -27,7 +28,11 @@
 
 Task<> ChangeLog::live(ChangeLog& self) {
   for (;;) {
-    co_await self.follow();
+    try {
+      co_await self.follow();
+    } catch (const std::exception& error) {  // no memory, say: the list must be followed all the same
+      self.troubled(error.what());
+    }
     co_await self.scheduler_.sleep_until(Scheduler::now() + self.limits_.log_again);
   }
 }
@@ -37,7 +42,7 @@
   const Seconds until = Scheduler::now() + limits_.log_silent;
   transport::Connected connected = co_await transport::connect(scheduler_, address_, until);
   if (connected.end != transport::ConnectEnd::kUp) {
-    log_.line("change log: no connection");
+    troubled("no connection");
     co_return;
   }
   ++counters_.log_connected;
@@ -55,7 +60,7 @@
     const Io io = co_await socket.read(in, limits_.read_room, Scheduler::now() + limits_.log_silent);
     if (io.end == IoEnd::kTimedOut) {
       ++counters_.log_silent;
-      log_.line("change log: silent, asking anew after event {}", last_);
+      troubled("silent");
     }
     if (!io.ok()) co_return;
     auto step = protocol::HttpParser::Step::kHead;
@@ -70,9 +75,16 @@
 
 void ChangeLog::start_line(std::string_view status, std::string_view) {
   usable_ = status == "200";
-  if (usable_) return;
-  broken_ = true;
-  log_.line("change log: answered {}", status);
+  broken_ = !usable_;
+  if (broken_) return troubled("answered " + std::string(status));
+  if (!std::exchange(trouble_, "").empty()) log_.line("change log: followed again, after event {}", last_);
+}
+
+// Tries go on several times a second; the log hears of each trouble once.
+void ChangeLog::troubled(const std::string& what) {
+  if (trouble_ == what) return;
+  trouble_ = what;
+  log_.line("change log: {}; trying again, after event {}", what, last_);
 }
 
 void ChangeLog::header(std::string_view, std::string_view) {}
--- a/src/routing/change_log.hpp
+++ b/src/routing/change_log.hpp
@@ -28,6 +28,7 @@
   void event(std::string_view id, std::string_view data) override;
   static transport::Task<> live(ChangeLog& self);
   transport::Task<> follow();
+  void troubled(const std::string& what);
 
   transport::Scheduler& scheduler_;
   const Limits& limits_;
@@ -39,6 +40,7 @@
   ModuleActor& module_;
   protocol::EventParser events_;
   bool usable_ = false, broken_ = false;
+  std::string trouble_;  // what was logged last, until events come again
 };
 
 }  // namespace hareramp::routing
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -159,8 +159,9 @@
   const int on = 1;
   setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&at.raw()), sizeof at.raw()) != 0)
-    throw std::system_error(errno, std::generic_category(), "bind");
-  if (::listen(descriptor, backlog) != 0) throw std::system_error(errno, std::generic_category(), "listen");
+    throw std::system_error(errno, std::generic_category(), "can't listen at " + at.text());
+  if (::listen(descriptor, backlog) != 0)
+    throw std::system_error(errno, std::generic_category(), "can't listen at " + at.text());
 }
 
 Task<Listener::Accepted> Listener::accept() {
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -137,7 +137,8 @@
   StandIn other(scheduler);
   const std::string taken =
       run({"serve"}, {{"EDGE_CONFIG", good.path}, {"EDGE_LISTEN", other.address.text()}});
-  CHECK(taken == "hareramp serve: bind: Address already in use\n-> 1\n");
+  CHECK(taken ==
+        "hareramp serve: can't listen at " + other.address.text() + ": Address already in use\n-> 1\n");
 }
 
 TEST_CASE("it serves, prints its counters, and leaves by SIGTERM with everything answered") {
