--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -31,6 +31,11 @@
   }
 
   void unknown_field(std::string_view) override { ++peer.counters_.unknown_fields; }
+  // The first byte of it has left.
+  bool begun(const PullId& pull) const {
+    if (!out.empty() && out.front().pull == pull) return out_sent > 0;
+    return std::none_of(out.begin(), out.end(), [&](const Piece& piece) { return piece.pull == pull; });
+  }
 
   Peer& peer;
   std::weak_ptr<Link> self;
@@ -116,30 +121,43 @@
                 const FillTerms& fill, Seconds give_up_at) {
   const LinkPointer link = choose_link(pull);
   if (!link) return told_.ended(pull, number, node_, Result::kNotSent, Note::kNone, 0, {}, {});
+  const Seconds now = Scheduler::now();
   Open open;
   open.number = number;
-  open.timer = scheduler_.at(give_up_at, [weak = weak_from_this(), pull, number] {
-    if (const auto peer = weak.lock()) peer->give_up(pull, number, Result::kTimedOut);
-  });
+  open.timer = watch(pull, number, std::min(give_up_at, now + limits_.begin_within), give_up_at);
   link->open.emplace(pull, open);
-  const Seconds now = Scheduler::now();
-  link->out.push_back(
-      {protocol::serve_line(pull, wording, give_up_at - now, node_, fill), pull, now + limits_.begin_within});
+  link->out.push_back({protocol::serve_line(pull, wording, give_up_at - now, node_, fill), pull});
   pump(link);
 }
 
+Scheduler::TimerKey Peer::watch(const PullId& pull, HandOffNumber number, Seconds until, Seconds give_up_at) {
+  return scheduler_.at(until, [weak = weak_from_this(), pull, number, give_up_at] {
+    const auto peer = weak.lock();
+    if (!peer) return;
+    for (const LinkPointer& link : peer->links_) {
+      const auto found = link->open.find(pull);
+      if (found == link->open.end() || found->second.number != number) continue;
+      if (!link->begun(pull) || Scheduler::now() >= give_up_at) break;
+      found->second.timer = peer->watch(pull, number, give_up_at, give_up_at);
+      return;
+    }
+    peer->give_up(pull, number, Result::kTimedOut);
+  });
+}
+
 void Peer::give_up(const PullId& pull, HandOffNumber number, Result result) {
   for (const LinkPointer& link : std::list<LinkPointer>(links_)) {
     const auto found = link->open.find(pull);
     if (found == link->open.end() || found->second.number != number) continue;
     const Open open = found->second;
     if (!open.written) {
-      // It has not come whole to the node, so it never ran. If a part of it is on the way, the node must not
-      // get the rest: the connection goes, and what else was out on it may have run.
-      const bool begun = link->out_sent > 0 && link->out.front().pull == pull;
-      const bool up = link->state == Link::State::kUp;
-      end(link, pull, result == Result::kTimedOut && !up ? Result::kUnreachable : Result::kNotSent,
-          Note::kNone, 0, {}, {});
+      // It has not come whole to the node, so it never ran: no connection came up, or the node does not read.
+      // If a part of it is on the way, the node must not get the rest: the connection goes, and what else was
+      // out on it may have run. If none is, it must not go out later either, once the node has long been
+      // drained, or with the age bound of a time before a purge.
+      const bool begun = link->begun(pull);
+      end(link, pull, result == Result::kTimedOut ? Result::kUnreachable : Result::kNotSent, Note::kNone, 0,
+          {}, {});
       if (begun) return drop(link);
       std::erase_if(link->out, [&](const Piece& piece) { return piece.pull == pull; });
       return settle(link);
@@ -236,19 +254,9 @@
   }
 }
 
-// Guards against a node that stops reading: what waited behind it must not go out once the node has long
-// been drained, or with the bound of a purge that was not yet told. It has not begun, so it never ran.
-void Peer::drop_overdue(const LinkPointer& link) {
-  while (link->out_sent == 0 && !link->out.empty() && link->out.front().begin_by < Scheduler::now()) {
-    const PullId pull = link->out.front().pull;
-    link->out.pop_front();
-    if (link->open.contains(pull)) end(link, pull, Result::kNotSent, Note::kNone, 0, {}, {});
-  }
-}
-
 // Writes as much as goes. False: the rest must wait until the socket takes more.
 bool Peer::write_out(const LinkPointer& link) {
-  for (drop_overdue(link); !link->out.empty(); drop_overdue(link)) {
+  while (!link->out.empty()) {
     const Io io = link->socket.write_now(std::string_view(link->out.front().bytes).substr(link->out_sent));
     wrote(*link, io.bytes);
     if (io.end == IoEnd::kTimedOut) return false;
--- a/src/routing/peer.hpp
+++ b/src/routing/peer.hpp
@@ -57,7 +57,6 @@
   struct Piece {
     std::string bytes;
     PullId pull;  // empty: a cancel, which nobody waits for
-    Seconds begin_by = transport::kNever;
   };
   class Link;
   using LinkPointer = std::shared_ptr<Link>;
@@ -65,6 +64,9 @@
   LinkPointer choose_link(const PullId& pull);
   void send(const PullId& pull, HandOffNumber number, const protocol::Wording& wording, const FillTerms& fill,
             Seconds give_up_at);
+  // Looks after a hand-off: at until it must have begun, at give_up_at it must have ended.
+  transport::Scheduler::TimerKey watch(const PullId& pull, HandOffNumber number, Seconds until,
+                                       Seconds give_up_at);
   void give_up(const PullId& pull, HandOffNumber number, Result result);
   void end(const LinkPointer& link, const PullId& pull, Result result, Note note, Seconds waited,
            LoadReport report, Content content);
@@ -72,7 +74,6 @@
   void drop(const LinkPointer& link);
   void forget(const LinkPointer& link);
   void settle(const LinkPointer& link);
-  void drop_overdue(const LinkPointer& link);
   void pump(const LinkPointer& link);
   bool write_out(const LinkPointer& link);
   void wrote(Link& link, std::size_t bytes);
