A log that nobody reads can't stop the director; the memory budget adds up

Bodies, answers and waiting answers are bounded so that every client at its worst stays within 192 MB (the sum stands in limits.cpp).

--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -25,7 +25,7 @@
 };
 
 int run_serve(const std::string& path, std::FILE*, std::FILE* err) {
-  Log log(err);
+  Log log(fileno(err));
   return serve(load_config(path), log);
 }
 
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -17,16 +17,18 @@
   const protocol::Json& allowed = settings["Permissions"];
 
   Limits limits;
-  limits.head_bytes = 16 * kKb;     // ours are under 1 KB; room for a proxy's additions
-  limits.request_body = 256 * kKb;  // a write brings 48,000 bytes at most
-  limits.read_ahead = 32 * kKb;     // pipelined requests
-  limits.buffer_kept = 32 * kKb;    // one usual read: idle clients together stay within 11 MB
-  limits.read_room = 16 * kKb;      // one usual read
-  limits.answer_line = 8 * kKb;     // under 300 bytes in use
-  limits.answer_body = 1 * kMb;     // objects hold 240,000 bytes at most
-  limits.event_bytes = 1 * kMb;     // a whole list of thousands of nodes
-  // Answers on their way out, the largest part of what varies; buffers and pulls share the rest.
-  limits.waiting_answers = count(memory / 3, kMb, 1024.0 * kMb);
+  limits.head_bytes = 16 * kKb;    // ours are under 1 KB; room for a proxy's additions
+  limits.request_body = 64 * kKb;  // a write brings 48,000 bytes at most
+  limits.read_ahead = 32 * kKb;    // pipelined requests
+  limits.buffer_kept = 32 * kKb;   // one usual read: idle clients together stay within 11 MB
+  limits.read_room = 16 * kKb;     // one usual read
+  limits.answer_line = 8 * kKb;    // under 300 bytes in use
+  limits.answer_body = 512 * kKb;  // objects hold 240,000 bytes at most
+  limits.event_bytes = 1 * kMb;    // a whole list of thousands of nodes
+  // The budget, for 192 MB and 1,024 descriptors with every client at its worst: 341 clients' buffers and
+  // bodies 38 MB, answers waiting for slow clients 48 MB, the answers of the pulls that are then still open
+  // 82 MB (240,000 bytes each), nodes' buffers 10 MB. The days played take 7 MB.
+  limits.waiting_answers = count(memory / 4, kMb, 1024.0 * kMb);
 
   limits.clients = count(sockets / 3, 1, 100000);
   // 32 are left for the log, epoll, signals, the listener and the change log, which take 8.
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -39,12 +39,11 @@
 
 }  // namespace
 
-Front::Front(Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
-             const transport::Address& at, std::vector<std::string> grades, ModuleActor& module)
+Front::Front(Scheduler& scheduler, const Limits& limits, Counters& counters, const transport::Address& at,
+             std::vector<std::string> grades, ModuleActor& module)
     : scheduler_(scheduler),
       limits_(limits),
       counters_(counters),
-      log_(log),
       listener_(scheduler, at, limits.backlog),
       grades_(std::move(grades)),
       module_(module),
--- a/src/routing/front.hpp
+++ b/src/routing/front.hpp
@@ -9,7 +9,6 @@
 
 #include "counters.hpp"
 #include "limits.hpp"
-#include "log.hpp"
 #include "protocol/http.hpp"
 #include "routing/module.hpp"
 #include "transport/buffer.hpp"
@@ -25,7 +24,7 @@
 // Takes connections as long as there is room for them, and knows those that are open.
 class Front {
  public:
-  Front(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
+  Front(transport::Scheduler& scheduler, const Limits& limits, Counters& counters,
         const transport::Address& at, std::vector<std::string> grades, ModuleActor& module);
   ~Front();
 
@@ -44,7 +43,6 @@
   transport::Scheduler& scheduler_;
   const Limits& limits_;
   Counters& counters_;
-  Log& log_;
   transport::Listener listener_;
   std::vector<std::string> grades_;
   ModuleActor& module_;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -212,7 +212,7 @@
                                                "StreamsPerConn":7}})"));
   CHECK(limits.clients == 100);
   CHECK(limits.clients + limits.links <= 300 - 32);
-  CHECK(limits.waiting_answers == 32u << 20);
+  CHECK(limits.waiting_answers == 24u << 20);
   CHECK(limits.connect == 0.25);
   CHECK(limits.link_idle < 15);
   CHECK(limits.streams_per_link == 7);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -29,7 +29,7 @@
          {entry("c1", cache.address, "z2", "cache"), entry("P1", parent.address, "z0", "parent"),
           entry("O", origin.address, "z1", "origin")},
          true);
-    front.emplace(scheduler, limits, counters, log, *transport::Address::parse("127.0.0.1:0"),
+    front.emplace(scheduler, limits, counters, *transport::Address::parse("127.0.0.1:0"),
                   std::vector<std::string>{"video", "docs", "write"}, *module);
     front->start();
   }
@@ -75,7 +75,7 @@
   Limits limits;
   Counters counters;
   std::FILE* sink = std::tmpfile();
-  Log log{sink};
+  Log log{fileno(sink)};
   StandIn cache{scheduler}, parent{scheduler}, origin{scheduler};
   std::optional<ModuleActor> module;
   std::optional<Front> front;
