--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -15,14 +15,18 @@
 
 namespace {
 
+// A new file of our own; its path goes into the string.
+int temporary(std::string& path) {
+  path = std::filesystem::temp_directory_path() / "hareramp-test-XXXXXX";
+  return mkstemp(path.data());
+}
+
 // A process of ours, with what it prints.
 class Process {
  public:
   Process(std::vector<std::string> words, const std::map<std::string, std::string>& variables,
           rlim_t descriptors = 0) {
-    char name[] = "/tmp/hareramp-test-XXXXXX";
-    const int file = mkstemp(name);
-    path_ = name;
+    const int file = temporary(path_);
     child_ = fork();
     if (child_ == 0) {
       for (const char* known : {"EDGE_NAME", "EDGE_LISTEN", "EDGE_CONFIG"}) unsetenv(known);
@@ -81,9 +85,7 @@
 
 struct File {
   explicit File(const std::string& text) {
-    char name[] = "/tmp/hareramp-config-XXXXXX";
-    ::close(mkstemp(name));
-    path = name;
+    ::close(temporary(path));
     std::ofstream(path) << text;
   }
   ~File() { std::filesystem::remove(path); }
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -95,6 +95,22 @@
   CHECK(trace == "one still one 2 posted from one last ");
 }
 
+TEST_CASE("what fails in one actor's call is told, and its next calls and all others go on") {
+  Scheduler scheduler;
+  Mailbox one(scheduler), two(scheduler);
+  std::string trace;
+  scheduler.on_failure = [&](std::exception_ptr) { trace += "told "; };
+  scheduler.spawn(one.serve());
+  scheduler.spawn(two.serve());
+  one.post([] { throw std::bad_alloc(); });
+  one.post([&] { trace += "one "; });
+  two.post([&] { trace += "two "; });
+  scheduler.at(Scheduler::now(), [] { throw std::runtime_error("in a timer"); });
+  scheduler.at(Scheduler::now() + 0.001, [&] { trace += "timer "; });
+  scheduler.run();
+  CHECK(trace == "told one two told timer ");
+}
+
 TEST_CASE("a scheduler that goes takes with it what still waits") {
   StandIn* never = nullptr;
   {
