--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -65,6 +65,10 @@
       co_await self.scheduler_.sleep_until(Scheduler::now() + self.limits_.linger);
       continue;
     }
+    if (self.clients_.size() >= self.limits_.clients) {
+      // Whoever has closed already, or has just asked for something, is heard of first.
+      co_await self.scheduler_.sleep_until(Scheduler::now());
+    }
     while (self.clients_.size() >= self.limits_.clients && !self.make_room()) {
       ++self.counters_.accept_paused;
       co_await self.room_.wait();
@@ -75,14 +79,14 @@
   }
 }
 
-// Guards against connections that are kept open and not used while others wait to be accepted.
+// Guards against connections that are kept open and not used while others wait to be accepted: the one that
+// has been idle longest goes. It hurts a client that asks in that very moment, and has to ask again.
 bool Front::make_room() {
-  for (const auto& client : clients_) {
-    if (!client->idle()) continue;
-    client->close_unless_busy();
-    return true;
-  }
-  return false;
+  std::shared_ptr<Client> longest;
+  for (const auto& client : clients_)
+    if (client->idle() && (!longest || client->idle_since() < longest->idle_since())) longest = client;
+  if (longest) longest->close_unless_busy();
+  return longest != nullptr;
 }
 
 void Front::close() {
--- a/src/routing/front.hpp
+++ b/src/routing/front.hpp
@@ -47,8 +47,8 @@
   std::vector<std::string> grades_;
   ModuleActor& module_;
   transport::Signal room_;
-  std::list<std::shared_ptr<Client>> clients_;  // in the order in which they came
-  std::size_t waiting_answers_ = 0;             // bytes
+  std::list<std::shared_ptr<Client>> clients_;
+  std::size_t waiting_answers_ = 0;  // bytes
 };
 
 // One connection. Pulls on it are answered in order, one open at a time; what is pipelined behind waits in
@@ -63,6 +63,7 @@
   void forfeited(const PullId& pull) override;
 
   bool idle() const { return !busy_ && !parser_.begun() && in_.size() == 0; }
+  Seconds idle_since() const { return moved_at_; }
   void close_unless_busy();
 
  private:
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -239,7 +239,7 @@
 
 TEST_CASE("at the limit of clients an idle one makes room, else accepting pauses") {
   Site site([](Limits& limits) { limits.clients = 2; });
-  const auto one = site.client(), two = site.client();
+  const auto two = site.client(), one = site.client();
   one->send(Site::get(kId1));
   site.hears(site.cache, "serve " + kId1);
   const auto three = site.client();
