SIGHUP reads the configuration again; a new change log is followed at once

Changed: SIGHUP reads the file; changelog takes effect at once, from the last event told, without waiting for the old connection; other changed fields get one log line; an unusable file changes nothing and is counted. Each address followed is an object of its own, so that the old one can be stopped at any moment. The change log counts as silent after 2.2 s instead of 3. The tests of routing (another address) and of the program (SIGHUP) fail without it.

--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -44,6 +44,8 @@
   COUNT(log_silent, "of these given up as silent")                                   \
   COUNT(events, "events of the change log")                                          \
   COUNT(events_skipped, "of these not understood, or out of turn")                   \
+  COUNT(reloads, "configurations read again and taken")                              \
+  COUNT(reloads_failed, "configurations that could not be read or used")             \
   COUNT(purges, "purges told")                                                       \
   COUNT(bytes_answered, "bytes of answers to clients")                               \
   COUNT(bytes_filled, "bytes of answers from nodes")                                 \
--- a/src/limits.hpp
+++ b/src/limits.hpp
@@ -38,6 +38,8 @@
   double log_again = 0;      // between tries to reach the change log
   double serve_on = 0;       // after SIGTERM, new work is still taken for so long
   double leave = 0;          // after SIGTERM, all is over by then
+
+  bool operator==(const Limits&) const = default;
 };
 
 }  // namespace hareramp
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -26,7 +26,7 @@
 
 int run_serve(const std::string& path, std::FILE*, std::FILE* err) {
   Log log(fileno(err));
-  return serve(load_config(path), log);
+  return serve(load_config(path), path, log);
 }
 
 int run_check(const std::string& path, std::FILE* out, std::FILE*) {
@@ -51,8 +51,9 @@
 
 const Command kCommands[] = {
     {"serve", "serve pulls until SIGTERM",
-     "Answers GET /_health with 200 once it serves. SIGUSR1 prints the counters, SIGTERM or SIGINT ends it:\n"
-     "new work is taken for a moment longer, all that was taken is answered, and it exits with 0.\n",
+     "Answers GET /_health with 200 once it serves. SIGUSR1 prints the counters, SIGHUP reads the\n"
+     "configuration again and takes its changelog, SIGTERM or SIGINT ends it: new work is taken for a moment\n"
+     "longer, all that was taken is answered, and it exits with 0.\n",
      true, run_serve},
     {"check", "read a configuration and say what would be served", "", true, run_check},
     {"version", "print the version", "", false, run_version},
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -48,7 +48,7 @@
   limits.linger = 0.25;                // one way to a client and back, several times
   limits.stop_margin = 0.03;           // the way to the client (12 ms) and a late turn of the loop
   limits.overdue = 0.005;              // the module's own end comes within a turn of the loop
-  limits.log_silent = 3;               // three comments missed
+  limits.log_silent = 2.2;             // two comments missed; a stop must be noticed within 4 s
   limits.log_again = 0.2;              // a change must be told within seconds
   limits.serve_on = 0.75;              // new work may come until 0.6 s after SIGTERM
   limits.leave = 8;                    // past the longest hard stop; each pull has ended by itself
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <exception>
+#include <string>
 
 #include "routing/change_log.hpp"
 #include "routing/front.hpp"
@@ -19,10 +20,11 @@
 
 class Service {
  public:
-  Service(const Config& config, Log& log)
+  Service(const Config& config, const std::string& path, Log& log)
       : config_(config),
+        path_(path),
         log_(log),
-        signals_(scheduler_, {SIGTERM, SIGINT, SIGUSR1}),
+        signals_(scheduler_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}),
         module_(scheduler_, config.limits, counters_, log, config.names, config.settings, config.seed),
         change_log_(scheduler_, config.limits, counters_, log, config.change_log, config.change_log_host,
                     config.known_to, module_),
@@ -54,6 +56,7 @@
     bool leaving = false;
     for (;;) {
       const int signal = co_await signals_.next();
+      if (signal == SIGHUP) reload();
       if (signal == SIGUSR1) log_.line("{}: {}", config_.name, counters_line(counters_));
       if ((signal != SIGTERM && signal != SIGINT) || leaving) continue;
       leaving = true;
@@ -62,6 +65,30 @@
     }
   }
 
+  // Guards against a file that is missing, half written or unusable: what was in force stays in force, and
+  // the next SIGHUP reads anew. Signals that come while one is being heeded fold into one, after the newest
+  // file.
+  void reload() {
+    try {
+      const Config fresh = load_config(path_);
+      ++counters_.reloads;
+      change_log_.moved(fresh.change_log, fresh.change_log_host);
+      std::string kept;
+      const auto compare = [&](const char* field, bool same) {
+        if (!same) kept += std::string(kept.empty() ? "" : ", ") + field;
+      };
+      compare("name", fresh.name == config_.name);
+      compare("listen", fresh.listen == config_.listen);
+      compare("seed", fresh.seed == config_.seed);
+      compare("limits", fresh.limits == config_.limits);
+      compare("settings", fresh.settings == config_.settings);
+      if (!kept.empty()) log_.line("{}: changed only by a restart: {}", config_.name, kept);
+    } catch (const std::exception& error) {
+      ++counters_.reloads_failed;
+      log_.line("{}: the configuration stays as it is: {}", config_.name, error.what());
+    }
+  }
+
   // New work still comes for a moment; then what has been taken is answered.
   Task<> leave() {
     const Seconds start = Scheduler::now();
@@ -74,6 +101,7 @@
   }
 
   const Config& config_;
+  const std::string path_;
   Log& log_;
   Counters counters_;
   Scheduler scheduler_;
@@ -85,9 +113,9 @@
 
 }  // namespace
 
-int serve(const Config& config, Log& log) {
+int serve(const Config& config, const std::string& path, Log& log) {
   signal(SIGPIPE, SIG_IGN);
-  Service(config, log).run();
+  Service(config, path, log).run();
   return 0;
 }
 
--- a/src/program/serve.hpp
+++ b/src/program/serve.hpp
@@ -8,8 +8,8 @@
 namespace hareramp::program {
 
 // Serves until SIGTERM or SIGINT, then answers what it has taken. Returns the exit status. SIGUSR1 prints
-// the counters.
-int serve(const Config& config, Log& log);
+// the counters, SIGHUP reads the configuration again, from path as load_config does.
+int serve(const Config& config, const std::string& path, Log& log);
 
 // All counters with a name each, one line.
 std::string counters_line(const Counters& counters);
--- a/src/routing/change_log.cpp
+++ b/src/routing/change_log.cpp
@@ -12,64 +12,90 @@
 using transport::Scheduler;
 using transport::Task;
 
-ChangeLog::ChangeLog(Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
-                     transport::Address address, std::string host, long long last, ModuleActor& module)
-    : scheduler_(scheduler),
-      limits_(limits),
-      counters_(counters),
-      log_(log),
-      address_(address),
-      host_(std::move(host)),
-      last_(last),
-      module_(module),
-      mailbox_(scheduler),
-      events_(limits.event_bytes) {}
-
-void ChangeLog::start(const std::vector<protocol::Json>& known) {
-  for (const protocol::Json& change : known)
-    mailbox_.post([this, change] { module_.change_arrived(change, true); });
-  scheduler_.spawn(live(*this));
-  scheduler_.spawn(keep_following(*this));
-}
+// Follows one address, connection after connection, until it is told to stop.
+class ChangeLog::Feed : public std::enable_shared_from_this<Feed>,
+                        private protocol::HttpHandler,
+                        private protocol::EventHandler {
+ public:
+  Feed(ChangeLog& owner, transport::Address address, std::string host)
+      : log_(owner), address_(address), host_(std::move(host)), events_(owner.limits_.event_bytes) {}
 
-Task<> ChangeLog::live(ChangeLog& self) { co_await self.mailbox_.serve(); }
+  void start() { log_.scheduler_.spawn(keep_following(shared_from_this())); }
+  void stop() {
+    stopped_ = true;
+    socket_.close();
+  }
 
-Task<> ChangeLog::keep_following(ChangeLog& self) {
-  for (;;) {
-    try {
-      co_await self.follow();
-    } catch (const std::exception& error) {  // no memory, say: the list must be followed all the same
-      self.troubled(error.what());
+ private:
+  static Task<> keep_following(std::shared_ptr<Feed> self) {
+    while (!self->stopped_) {
+      try {
+        co_await self->follow();
+      } catch (const std::exception& error) {  // no memory, say: the list must be followed all the same
+        self->log_.troubled(error.what());
+      }
+      if (!self->stopped_)
+        co_await self->log_.scheduler_.sleep_until(Scheduler::now() + self->log_.limits_.log_again);
     }
-    co_await self.scheduler_.sleep_until(Scheduler::now() + self.limits_.log_again);
   }
-}
+  Task<> follow();
+
+  void start_line(std::string_view status, std::string_view) override {
+    usable_ = status == "200";
+    broken_ = !usable_;
+    if (broken_) return log_.troubled("answered " + std::string(status));
+    if (!std::exchange(log_.trouble_, "").empty())
+      log_.log_.line("change log: followed again, after event {}", log_.last_);
+  }
+  void header(std::string_view, std::string_view) override {}
+  void body(std::string_view piece) override {
+    if (usable_ && !events_.feed(piece, *this)) broken_ = true;
+  }
+  void event(std::string_view id, std::string_view data) override {
+    auto change = protocol::Json::parse(data);
+    long long number = 0;
+    std::from_chars(id.data(), id.data() + id.size(), number);
+    if (change && (*change)["seq"].whole()) number = *(*change)["seq"].whole();
+    log_.mailbox_.post(
+        [&log = log_, number, change = std::move(change)]() mutable { log.told(number, std::move(change)); });
+  }
+
+  ChangeLog& log_;
+  transport::Address address_;
+  std::string host_;
+  transport::Socket socket_;
+  protocol::EventParser events_;
+  bool usable_ = false, broken_ = false, stopped_ = false;
+};
 
 // One connection, until it ends or falls silent; the next goes on after the last event that was read whole.
-Task<> ChangeLog::follow() {
-  const Seconds until = Scheduler::now() + limits_.log_silent;
-  transport::Connected connected = co_await transport::connect(scheduler_, address_, until);
+Task<> ChangeLog::Feed::follow() {
+  const Limits& limits = log_.limits_;
+  const Seconds until = Scheduler::now() + limits.log_silent;
+  transport::Connected connected = co_await transport::connect(log_.scheduler_, address_, until);
+  if (stopped_) co_return;
   if (connected.end != transport::ConnectEnd::kUp) {
-    troubled("no connection");
+    log_.troubled("no connection");
     co_return;
   }
-  ++counters_.log_connected;
-  transport::Socket socket = std::move(connected.socket);
+  ++log_.counters_.log_connected;
+  socket_ = std::move(connected.socket);
   const std::string asked = "GET /changes HTTP/1.1\r\nHost: " + host_ +
-                            "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(last_) +
+                            "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + std::to_string(log_.last_) +
                             "\r\n\r\n";
-  const Io sent = co_await socket.write(asked, until);
+  const Io sent = co_await socket_.write(asked, until);
   if (!sent.ok()) co_return;
   protocol::HttpParser parser(protocol::HttpParser::Message::kResponse,
-                              {limits_.head_bytes, std::numeric_limits<std::size_t>::max()});
-  events_ = protocol::EventParser(limits_.event_bytes);
+                              {limits.head_bytes, std::numeric_limits<std::size_t>::max()});
+  events_ = protocol::EventParser(limits.event_bytes);
   usable_ = broken_ = false;
-  transport::Buffer in(limits_.buffer_kept);
+  transport::Buffer in(limits.buffer_kept);
   for (;;) {
-    const Io io = co_await socket.read(in, limits_.read_room, Scheduler::now() + limits_.log_silent);
+    const Io io = co_await socket_.read(in, limits.read_room, Scheduler::now() + limits.log_silent);
+    if (stopped_) co_return;
     if (io.end == IoEnd::kTimedOut) {
-      ++counters_.log_silent;
-      troubled("silent");
+      ++log_.counters_.log_silent;
+      log_.troubled("silent");
     }
     if (!io.ok()) co_return;
     auto step = protocol::HttpParser::Step::kHead;
@@ -82,13 +108,46 @@
   }
 }
 
-void ChangeLog::start_line(std::string_view status, std::string_view) {
-  usable_ = status == "200";
-  broken_ = !usable_;
-  if (broken_) return troubled("answered " + std::string(status));
-  if (!std::exchange(trouble_, "").empty()) log_.line("change log: followed again, after event {}", last_);
+ChangeLog::ChangeLog(Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
+                     transport::Address address, std::string host, long long last, ModuleActor& module)
+    : scheduler_(scheduler),
+      limits_(limits),
+      counters_(counters),
+      log_(log),
+      address_(address),
+      host_(std::move(host)),
+      last_(last),
+      module_(module),
+      mailbox_(scheduler) {}
+
+ChangeLog::~ChangeLog() = default;
+
+void ChangeLog::start(const std::vector<protocol::Json>& known) {
+  for (const protocol::Json& change : known)
+    mailbox_.post([this, change] { module_.change_arrived(change, true); });
+  scheduler_.spawn(live(*this));
+  follow(address_, host_);
+}
+
+void ChangeLog::moved(transport::Address address, const std::string& host) {
+  mailbox_.post([this, address, host] {
+    if (address == address_) return;
+    log_.line("change log: from now on at {}, after event {}", host, last_);
+    follow(address, host);
+  });
 }
 
+// Guards against an old change log that stays open and tells nothing: it is left at once, not when it ends.
+// What it had told and we had not read is told again by the new one; what both tell counts once.
+void ChangeLog::follow(transport::Address address, const std::string& host) {
+  address_ = address, host_ = host;
+  if (feed_) feed_->stop();
+  feed_ = std::make_shared<Feed>(*this, address_, host_);
+  feed_->start();
+}
+
+Task<> ChangeLog::live(ChangeLog& self) { co_await self.mailbox_.serve(); }
+
 // Tries go on several times a second; the log hears of each trouble once.
 void ChangeLog::troubled(const std::string& what) {
   if (trouble_ == what) return;
@@ -96,20 +155,6 @@
   log_.line("change log: {}; trying again, after event {}", what, last_);
 }
 
-void ChangeLog::header(std::string_view, std::string_view) {}
-
-void ChangeLog::body(std::string_view piece) {
-  if (usable_ && !events_.feed(piece, *this)) broken_ = true;
-}
-
-void ChangeLog::event(std::string_view id, std::string_view data) {
-  auto change = protocol::Json::parse(data);
-  long long number = 0;
-  std::from_chars(id.data(), id.data() + id.size(), number);
-  if (change && (*change)["seq"].whole()) number = *(*change)["seq"].whole();
-  mailbox_.post([this, number, change = std::move(change)]() mutable { told(number, std::move(change)); });
-}
-
 void ChangeLog::told(long long number, std::optional<protocol::Json> change) {
   ++counters_.events;
   if (number > 0 && number <= last_) return;  // told before, after a reconnection
--- a/src/routing/change_log.hpp
+++ b/src/routing/change_log.hpp
@@ -2,6 +2,7 @@
 // module in order and once. A task of its own keeps a connection to the change log and posts what it reads.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,23 +19,22 @@
 
 namespace hareramp::routing {
 
-class ChangeLog : private protocol::HttpHandler, private protocol::EventHandler {
+class ChangeLog {
  public:
   ChangeLog(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
             transport::Address address, std::string host, long long last, ModuleActor& module);
+  ~ChangeLog();
   // With the events known already, which reach the module before anything else can.
   void start(const std::vector<protocol::Json>& known);
+  // Only posts: from then on another address is followed, after the last event told, and the old one no more.
+  void moved(transport::Address address, const std::string& host);
   long long last() const { return last_; }
 
  private:
-  void start_line(std::string_view status, std::string_view reason) override;
-  void header(std::string_view name, std::string_view value) override;
-  void body(std::string_view piece) override;
-  void event(std::string_view id, std::string_view data) override;
+  class Feed;
+  void follow(transport::Address address, const std::string& host);
   void told(long long number, std::optional<protocol::Json> change);
   static transport::Task<> live(ChangeLog& self);
-  static transport::Task<> keep_following(ChangeLog& self);
-  transport::Task<> follow();
   void troubled(const std::string& what);
 
   transport::Scheduler& scheduler_;
@@ -46,8 +46,7 @@
   long long last_;
   ModuleActor& module_;
   transport::Mailbox mailbox_;
-  protocol::EventParser events_;
-  bool usable_ = false, broken_ = false;
+  std::shared_ptr<Feed> feed_;
   std::string trouble_;  // what was logged last, until events come again
 };
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -183,6 +183,39 @@
         std::string::npos);
 }
 
+TEST_CASE("SIGHUP: another change log is followed, a bad file changes nothing, pulls go on") {
+  Scheduler scheduler;
+  StandIn origin(scheduler), changes(scheduler), other(scheduler);
+  const transport::Address listen = nobody(scheduler);
+  const std::string before = configuration(listen.text(), changes.address.text(), origin.address.text());
+  const File config(before);
+  Process process({"serve", "--config", config.path}, {});
+  const auto prints = [&](const std::string& words) {
+    CHECK_MESSAGE(runs_until(scheduler, [&] { return process.printed().find(words) != std::string::npos; }),
+                  words);
+  };
+  prints("serving");
+  const auto client = dial(scheduler, listen);
+  client->send(put("0000000000000001"));
+  REQUIRE(runs_until(scheduler, [&] { return origin.heard_all("serve 0000000000000001"); }));
+  std::ofstream(config.path) << before.substr(0, before.size() / 2);
+  process.send(SIGHUP);
+  prints("the configuration stays as it is");
+  std::string after = configuration(listen.text(), other.address.text(), origin.address.text());
+  after.replace(after.find("\"memory_mb\":192"), 15, "\"memory_mb\":64");
+  std::ofstream(config.path) << after;
+  process.send(SIGHUP);
+  REQUIRE(runs_until(scheduler, [&] { return other.heard_all("Last-Event-ID: 3"); }));
+  prints("changed only by a restart: limits");
+  origin.ends[0]->send("0000000000000001 ACK - 3\r\none\r\n");
+  REQUIRE(runs_until(scheduler, [&] { return client->heard.ends_with("one"); }));
+  process.send(SIGUSR1);
+  prints("reloads=1 reloads_failed=1");
+  process.send(SIGTERM);
+  REQUIRE(runs_until(scheduler, [&] { return process.ended(); }));
+  CHECK(process.status() == 0);
+}
+
 TEST_CASE("with no descriptor left it goes on: idle clients make room, pulls that can't go out are bounced") {
   Scheduler scheduler;
   StandIn origin(scheduler), changes(scheduler);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -348,6 +348,30 @@
   site.until([&] { return site.changes.came(before + 2); });
 }
 
+TEST_CASE("the change log: another address is followed at once, and what both tell counts once") {
+  Followed site;
+  site.asked(0, 4);
+  StandIn second(site.scheduler), third(site.scheduler);
+  const auto asked = [&](StandIn& feed, const std::string& after) {
+    site.until([&] { return feed.heard_all("Last-Event-ID: " + after + "\r\n\r\n"); });
+  };
+  site.says(0, "5", R"({"seq":5,"invalidate":{"bucket":17,"time":1}})", true);
+  site.until([&] { return site.list->last() == 5; });
+  site.list->moved(second.address, "second");  // the first stays open and silent
+  asked(second, "5");
+  site.until([&] { return site.changes.ends[0]->ended; });
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  second.ends[0]->send(head + "id: 5\ndata: {\"seq\":5,\"invalidate\":{\"bucket\":17,\"time\":1}}\n\n" +
+                       "id: 6\ndata: {\"seq\":6,\"invalidate\":{\"bucket\":18,\"time\":1}}\n\n");
+  site.until([&] { return site.list->last() == 6; });
+  site.until([&] { return site.counters.purges == 2; });
+  site.list->moved(second.address, "second");  // nothing new: the connection stays
+  site.list->moved(nobody(site.scheduler), "nobody");
+  site.list->moved(third.address, "third");  // several at once: the last counts
+  asked(third, "6");
+  CHECK(second.ends.size() == 1);
+}
+
 TEST_CASE("the change log: an address taken over by another node") {
   Followed site;
   site.asked(0, 4);
