A connection for each hand-off where it goes; stalled ones are left; crowds judged by one measure

A trace of each hand-off's end, and of what cut each room, showed two causes. 1. src/routing/peer.cpp put all hand-offs to a node on one connection: an answer that can't be read ended them all as broken, and one that stopped short (choose_link took the first connection, and read waited for ever) held whatever was sent behind it until its time-out. Ruled out: bad clients' own pulls (1,000 hand-offs that ended as error at once) and CPU (0.08 of a core).

--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -37,6 +37,8 @@
   COUNT(links_broken, "connections to nodes that ended with work out")               \
   COUNT(links_idle, "connections to nodes closed as idle")                           \
   COUNT(links_doubted, "connections to nodes given up as silent")                    \
+  COUNT(links_stalled, "connections to nodes given up in the middle of an answer")   \
+  COUNT(moved_on, "hand-offs that went on, unsent, from a connection that ended")    \
   COUNT(late_answers, "answers to what was no longer wanted")                        \
   COUNT(bad_answers, "lines of nodes that could not be read")                        \
   COUNT(unknown_fields, "fields of nodes and of the change log that we do not know") \
--- a/src/limits.hpp
+++ b/src/limits.hpp
@@ -28,6 +28,7 @@
   double begin_within = 0;   // for a hand-off's first byte to leave, else it is not sent
   double link_idle = 0;      // a connection to a node with nothing out: before the node closes it
   double link_doubt = 0;     // nothing heard on a connection while something was given up on it
+  double link_stall = 0;     // nothing more of an answer that has begun: it will not end
   double client_idle = 0;    // a client's connection with no request
   double request_whole = 0;  // from a request's first byte to its last
   double answer_taken = 0;   // for a client to take an answer
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -382,6 +382,9 @@
   // A further hand-off only if the time left exceeds what it is expected to take. The first is always made:
   // after a slow spell nothing else would tell that things go faster again.
   bool time_for_another(const Pull& p) { return p.offs.empty() || p.hard_stop - now > expected(p); }
+  bool is_crowded(const Pull& p, Seconds spent) {
+    return spent - send_time(p) > kTight * (contract_time(p) - send_time(p));
+  }
   bool hand_offs_left(const Pull& p) const {
     return static_cast<double>(p.offs.size()) < number("Permissions.MaxAttempts", 1);
   }
@@ -404,9 +407,8 @@
     double sum = 0, caches = 0;
     for (int n = 0; n < count(); ++n)
       if (is_cache(n) && serve_rate[n].heard()) sum += serve_rate[n].per_second(now), ++caches;
-    const double home = serve_rate[order[0]].per_second(now), rate = home > 0     ? home
-                                                                     : caches > 0 ? sum / caches
-                                                                                  : 0;
+    double rate = serve_rate[order[0]].per_second(now);
+    if (rate <= 0 && caches > 0) rate = sum / caches;
     return rate > 0 && bytes / kHotSpan > kHotShare * rate;
   }
 
@@ -589,11 +591,9 @@
     const Seconds wait = expected(p), in_hand = contract_time(p) - (now - p.arrived) - wait;
     // As long as a further hand-off could still make the contract time; less for a member on trial.
     off.patience = off.trial ? kOverdue * wait : std::max(kOverdue * wait, in_hand);
+    const int rank = is_write(p) ? 0 : p.hot ? 3 : p.known ? 2 : 1;
     const FillTerms fill = {.source = name[way.source],
-                            .rank = is_write(p) ? 0
-                                    : p.hot     ? 3
-                                    : p.known   ? 2
-                                                : 1,
+                            .rank = rank,
                             .oldest_copy = oldest_copy(p),
                             .join = allowed("FamilyInfo.CanJoin"),
                             .held_only = is_parent(way.source) && !origin_open(p),
@@ -711,7 +711,7 @@
       case Result::kCompleted: {
         const bool filled = note == Note::kFilled || note == Note::kFilledByOrigin;
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
-        const bool crowded = spent - send_time(p) > kTight * (contract_time(p) - send_time(p));
+        const bool crowded = is_crowded(p, spent);
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         serve_rate[c].add(now, p.size_kb, 1);
@@ -792,7 +792,8 @@
       return true;
     }
     const bool asked = off.source != off.node;
-    measure_room(asked ? off.source : off.node, 0, true, off.sent);  // late is late, whoever is to blame
+    // Late is late, whoever is to blame; with most of its slack left it shows no crowd yet.
+    measure_room(asked ? off.source : off.node, 0, is_crowded(p, now - off.sent), off.sent);
     if (!asked || filled_at[off.source] >= off.sent) return false;
     strike(off.source, 1);
     p.bad_sources.push_back(off.source), p.in_vain = true;
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -33,7 +33,8 @@
   limits.clients = count(sockets / 3, 1, 100000);
   // 32 are left for the log, epoll, signals, the listener and the change log, which take 8.
   limits.links = count(sockets - sockets / 3 - 32, 1, 100000);
-  limits.links_per_node = 8;  // one carries a hundred hand-offs; more only beside a silent one
+  // One for each hand-off that is out, as far as they go: 17 of 256 descriptors, 80 of 1,024.
+  limits.links_per_node = count(limits.links / 8.0, 2, 10000);
   limits.streams_per_link = count(allowed["StreamsPerConn"].number(100), 1, 10000);
   limits.backlog = 512;  // a front that reconnects all its clients at once
 
@@ -42,6 +43,7 @@
   // A good part of the node's own time, so that the node never closes first.
   limits.link_idle = 0.7 * allowed["ConnIdleS"].number(15);
   limits.link_doubt = limits.connect;  // as long as a new connection would have to come up
+  limits.link_stall = 0.4 * limits.connect;  // a node writes an answer at once; ten late turns of a loop
   limits.client_idle = 60;             // clients close theirs after 4 s
   limits.request_whole = 10;           // a request's bytes come within a second
   limits.answer_taken = 10;            // longer than any client waits
--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -1,6 +1,7 @@
 #include "routing/peer.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace hareramp::routing {
@@ -26,11 +27,20 @@
       return;
     }
     peer.counters_.bytes_filled += body.size();
+    if (result != Result::kCompleted) remember(pull);  // it may come again, and its answer may come twice
     peer.end(self.lock(), pull, result, note, waited, report,
              Content{same_copy, std::string(tag), std::string(body)});
   }
 
   void unknown_field(std::string_view) override { ++peer.counters_.unknown_fields; }
+  void remember(const PullId& pull) {
+    heard_of.insert(pull);
+    heard_of_at.emplace_back(Scheduler::now(), pull);
+  }
+  void forget_until(Seconds old) {
+    for (; !heard_of_at.empty() && heard_of_at.front().first < old; heard_of_at.pop_front())
+      heard_of.erase(heard_of_at.front().second);
+  }
   // The first byte of it has left.
   bool begun(const PullId& pull) const {
     if (!out.empty() && out.front().pull == pull) return out_sent > 0;
@@ -47,7 +57,8 @@
   std::size_t out_sent = 0;  // bytes of the first piece that are written
   bool draining = false, retiring = false, doubted = false;
   std::map<PullId, Open> open;
-  std::map<PullId, Seconds> given_up;  // when: an answer to one of these may still come
+  std::set<PullId> heard_of;  // given up or answered, but not completed: an answer may still come
+  std::deque<std::pair<Seconds, PullId>> heard_of_at;
   Seconds heard_at = 0;
   Seconds idle_since = 0;
   bool idle_watched = false;
@@ -99,16 +110,23 @@
   });
 }
 
-// A connection that may carry this pull. The same id may not be there twice, also not while an answer to an
-// earlier hand-off may still come: nothing on the wire would tell the two apart.
+// A connection that may carry this pull: one with nothing out, else a new one, else the one with least out.
+// Guards against an answer that can't be read, stops short or never comes, and against resets: whatever else
+// is out on such a connection is lost with it. Costs descriptors, and a connection set up now and then.
+// The same id may not be there twice, also not while an answer to an earlier hand-off may still come: nothing
+// on the wire would tell the two apart.
 Peer::LinkPointer Peer::choose_link(const PullId& pull) {
   const Seconds old = Scheduler::now() - limits_.link_idle;
+  LinkPointer least;
   for (const LinkPointer& link : links_) {
     if (link->retiring || link->doubted || link->open.size() >= limits_.streams_per_link) continue;
-    std::erase_if(link->given_up, [&](const auto& entry) { return entry.second < old; });
-    if (!link->open.contains(pull) && !link->given_up.contains(pull)) return link;
+    link->forget_until(old);
+    if (link->open.contains(pull) || link->heard_of.contains(pull)) continue;
+    if (link->open.empty() && link->state == Link::State::kUp && link->socket.ended()) continue;
+    if (!least || link->open.size() < least->open.size()) least = link;
   }
-  if (links_.size() >= limits_.links_per_node || links_held_ >= limits_.links) return nullptr;
+  if (least && least->open.empty()) return least;
+  if (links_.size() >= limits_.links_per_node || links_held_ >= limits_.links) return least;
   const auto link = std::make_shared<Link>(*this, limits_);
   link->self = link;
   links_.push_back(link);
@@ -163,7 +181,7 @@
       return settle(link);
     }
     const Seconds now = Scheduler::now();
-    link->given_up[pull] = now;
+    link->remember(pull);
     link->out.push_back({protocol::cancel_line(pull), {}});
     // Guards against a node that vanished without a word: its connections look open for ever. Also meets a
     // path that went dead. Costs a connection set up anew where a node was only slow.
@@ -223,7 +241,7 @@
   link->socket.close();
   if (!link->open.empty()) ++counters_.links_broken;
   forget(link);
-  end_all(link, Result::kBroken, Result::kNotSent);
+  end_all(link, Result::kBroken, Result::kNotSent, true);
 }
 
 void Peer::forget(const LinkPointer& link) {
@@ -232,10 +250,27 @@
   if (gone_ && links_.empty()) mailbox_.close();
 }
 
-void Peer::end_all(const LinkPointer& link, Result written, Result unwritten) {
+// What has not come whole to the node never ran, and goes on once on another connection if it may: a reset
+// of one connection says little of the node.
+void Peer::end_all(const LinkPointer& link, Result written, Result unwritten, bool may_move_on) {
   while (!link->open.empty()) {
-    const auto& [pull, open] = *link->open.begin();
-    end(link, PullId(pull), open.written ? written : unwritten, Note::kNone, 0, {}, {});
+    const PullId pull = link->open.begin()->first;
+    Open open = link->open.begin()->second;
+    const auto piece = std::find_if(link->out.begin(), link->out.end(),
+                                    [&](const Piece& waiting) { return waiting.pull == pull; });
+    LinkPointer other;
+    if (!open.written && !open.moved_on && may_move_on && !gone_ && piece != link->out.end())
+      other = choose_link(pull);
+    if (!other) {
+      end(link, pull, open.written ? written : unwritten, Note::kNone, 0, {}, {});
+      continue;
+    }
+    ++counters_.moved_on;
+    open.moved_on = true;
+    link->open.erase(pull);
+    other->open.emplace(pull, open);
+    other->out.push_back(std::move(*piece));
+    pump(other);
   }
   link->out.clear();
 }
@@ -296,9 +331,10 @@
   if (connected.end != transport::ConnectEnd::kUp) {
     ++counters_.links_failed;
     const bool ours = connected.end == transport::ConnectEnd::kNoDescriptor;
+    const bool reset = connected.end == transport::ConnectEnd::kReset;
     link->state = Link::State::kClosed;
     forget(link);
-    end_all(link, Result::kBroken, ours ? Result::kNotSent : Result::kUnreachable);
+    end_all(link, Result::kBroken, ours ? Result::kNotSent : Result::kUnreachable, reset);
     co_return;
   }
   ++counters_.links_opened;
@@ -309,7 +345,11 @@
   settle(link);
   while (link->state == Link::State::kUp) {
     const std::size_t room = std::max(limits_.read_room, link->parser.wanted());
-    const Io io = co_await link->socket.read(link->in, room, kNever);
+    // Guards against an answer that stops short: nothing behind it on this connection can be read any more.
+    const bool amid = link->in.size() > 0;
+    const Io io =
+        co_await link->socket.read(link->in, room, amid ? link->heard_at + limits_.link_stall : kNever);
+    if (io.end == IoEnd::kTimedOut) ++counters_.links_stalled;
     if (!io.ok()) break;
     link->heard_at = Scheduler::now();
     link->doubted = false;
--- a/src/routing/peer.hpp
+++ b/src/routing/peer.hpp
@@ -52,7 +52,7 @@
     HandOffNumber number;
     transport::Scheduler::TimerKey timer;
     Seconds written_at = 0;
-    bool written = false;
+    bool written = false, moved_on = false;
   };
   struct Piece {
     std::string bytes;
@@ -70,7 +70,7 @@
   void give_up(const PullId& pull, HandOffNumber number, Result result);
   void end(const LinkPointer& link, const PullId& pull, Result result, Note note, Seconds waited,
            LoadReport report, Content content);
-  void end_all(const LinkPointer& link, Result written, Result unwritten);
+  void end_all(const LinkPointer& link, Result written, Result unwritten, bool may_move_on);
   void drop(const LinkPointer& link);
   void forget(const LinkPointer& link);
   void settle(const LinkPointer& link);
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -62,6 +62,12 @@
   ::close(std::exchange(descriptor_, -1));
 }
 
+bool Socket::ended() const {
+  char byte;
+  const ssize_t count = descriptor_ < 0 ? 0 : ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && !would_block(errno) && errno != EINTR);
+}
+
 void Socket::finish() {
   if (descriptor_ >= 0) ::shutdown(descriptor_, SHUT_WR);
 }
@@ -143,6 +149,7 @@
     int error = 0;
     socklen_t size = sizeof error;
     getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error == ECONNRESET) connected.end = ConnectEnd::kReset;
     if (error != 0) co_return connected;
     sockaddr_in peer{};
     size = sizeof peer;
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -54,6 +54,8 @@
   // As much as goes without waiting; kTimedOut says that the rest must wait for writable().
   Io write_now(std::string_view bytes);
   auto writable(Seconds until) { return watch_->writable(until); }
+  // The other side has closed or reset it: bytes written now would be lost.
+  bool ended() const;
   // Nothing more will be written; what was is still delivered.
   void finish();
   // Bytes that come no more are thrown away, and whoever waits is woken.
@@ -68,7 +70,8 @@
   std::unique_ptr<Watch> watch_;
 };
 
-enum class ConnectEnd { kUp, kRefused, kTimedOut, kNoDescriptor };
+// kReset: it came up, and the other side ended it at once.
+enum class ConnectEnd { kUp, kRefused, kReset, kTimedOut, kNoDescriptor };
 
 struct Connected {
   ConnectEnd end = ConnectEnd::kRefused;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -451,3 +451,21 @@
   trace += "no settings at all\n" + bare.taken();
   check_trace("settings", trace);
 }
+
+TEST_CASE("a transfer that is late with most of its slack left is no crowd: rooms stay") {
+  Rig rig;
+  rig.list(ListScope::kFull, "c1 P1 O");
+  for (int i = 0; i < 12; ++i) {
+    const std::string large = "a" + std::to_string(i), small = "b" + std::to_string(i);
+    rig.pull(large, 1000 + i, 0, 2000);
+    rig.after(0.1);
+    rig.pull(small, 2000 + i);
+    rig.ends(small, 0, Result::kCompleted, Note::kFilled, 0.32);
+    rig.run_until(rig.now + 2.6);
+    rig.ends(large, 0, Result::kCompleted, Note::kFilled, 0.01);
+  }
+  rig.taken();
+  for (int i = 0; i < 11; ++i) rig.pull("c" + std::to_string(i), 3000 + i);
+  const std::string trace = rig.taken();
+  CHECK_MESSAGE(trace.find("bounce") == std::string::npos, trace);
+}
