Clients go by what they have shown; gone nodes are forgotten; waiting connections hold no memory

Read and mended, each with a test that fails without it: - make_room (src/routing/front.cpp) let a good idle client go before those that had never sent a whole request; half a request could hold a connection for 10 s and none for 60 s. Now 2.2 s each, and first those that linger, then those that have shown nothing. - After a refusal the rest of the client's bytes is read until it pauses, for 1.5 s at most, so that the answer can be read. - Refused before the module hears: a body that a read brings, a method that does not fit the grade, groups past 255, sizes and times ten times beyond any grade's, a field given twice, and a whole request that is followed by what can't be a request. - index_of (src/policy.cpp) kept a place for each id ever seen; places are now used again. What can't be seen of it from outside is counted as nodes. - Each waiting connection held a read buffer of 16 KB; now none while it waits. clear_away looked through all tasks at each end.

--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -48,6 +48,7 @@
   COUNT(events_skipped, "of these not understood, or out of turn")                   \
   COUNT(reloads, "configurations read again and taken")                              \
   COUNT(reloads_failed, "configurations that could not be read or used")             \
+  COUNT(nodes, "nodes known now, those just gone included")                          \
   COUNT(purges, "purges told")                                                       \
   COUNT(bytes_answered, "bytes of answers to clients")                               \
   COUNT(bytes_filled, "bytes of answers from nodes")                                 \
--- a/src/limits.hpp
+++ b/src/limits.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 namespace hareramp {
 
@@ -16,6 +17,7 @@
   std::size_t answer_line = 0;      // the line of a cache node's answer
   std::size_t answer_body = 0;      // the bytes of a cache node's answer
   std::size_t event_bytes = 0;      // an event of the change log
+  double largest_kb = 0;            // of a pull, as it says of itself
   std::size_t waiting_answers = 0;  // bytes of answers that slow clients have not yet read, all together
   // counts
   std::size_t clients = 0;           // connections from clients
@@ -23,6 +25,7 @@
   std::size_t links_per_node = 0;    // of these, to one node
   std::size_t streams_per_link = 0;  // hand-offs out on one connection
   int backlog = 0;                   // connections that wait to be accepted
+  std::int64_t groups = 0;           // of objects
   // times
   double connect = 0;        // to set up a connection to a node
   double begin_within = 0;   // for a hand-off's first byte to leave, else it is not sent
@@ -31,8 +34,12 @@
   double link_stall = 0;     // nothing more of an answer that has begun: it will not end
   double client_idle = 0;    // a client's connection with no request
   double request_whole = 0;  // from a request's first byte to its last
+  double longest_wait = 0;   // that a pull may ask for
+  double first_request = 0;  // a new connection is not closed for another one so soon
+  double accept_again = 0;   // between looks for room for another client
   double answer_taken = 0;   // for a client to take an answer
-  double linger = 0;         // for a client to notice that we close
+  double linger = 0;         // for a client to notice that we close, after the last that it sent
+  double linger_most = 0;    // however much more it sends
   double stop_margin = 0;    // our own hard stop lies so much before the client's
   double overdue = 0;        // past our own hard stop a pull without an answer is ended here
   double log_silent = 0;     // the change log is taken for dead after so long a silence
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -166,8 +166,7 @@
         actions(sink),
         chance(static_cast<std::uint_fast32_t>(mix(seed))),
         now(start) {
-    const int listed_grades = static_cast<int>(number("RequestClasses.count", 1));
-    for (int i = 0; i < listed_grades; ++i) {
+    for (int i = 0; i < number("RequestClasses.count", 1); ++i) {
       const std::string at = "RequestClasses." + std::to_string(i) + ".";
       Grade grade;
       grade.contract = number(at + "PromiseS", grade.contract);
@@ -222,19 +221,21 @@
   }
   bool is_out(int n) const { return out_since[n] > kLongAgo; }
 
+  // Arrays grow only while no place of a node that is long gone (sweep) can be had.
   int index_of(const NodeId& id) {
-    const auto [found, added] = index.emplace(id.value, static_cast<int>(name.size()));
-    if (added) {
-      name.push_back(id), hash.push_back(hash_text(id.value));
-      zone.push_back(-1), kind.push_back(-1), cell.push_back(-1), running.push_back(false);
-      listed.push_back(false), fresh.push_back(false), weight.push_back(1), launched.push_back(kLongAgo);
-      fill_rate.emplace_back(), held_share.emplace_back(), serve_rate.emplace_back();
-      strikes.push_back(0), back_off.push_back(0), ledger.emplace_back();
-      work_out.push_back(0), room.push_back(0), out_here.push_back(0), out_from.push_back(0);
-      for (auto* times : {&out_since, &next_trial, &heard_at, &filled_at, &cut_at})
-        times->push_back(kLongAgo);
-    }
-    return found->second;
+    const auto [found, added] = index.emplace(id.value, count());
+    if (!added) return found->second;
+    const int n = found->second =
+        static_cast<int>(std::find(name.begin(), name.end(), NodeId()) - name.begin());
+    const auto clear = [n](auto value, auto&... columns) {
+      (columns.resize(std::max<std::size_t>(columns.size(), n + 1)), ...);
+      ((columns[n] = value), ...);
+    };
+    clear(id, name), clear(hash_text(id.value), hash), clear(false, running, listed, fresh);
+    clear(-1, zone, kind, cell), clear(0, strikes, out_here, out_from), clear(0.0, back_off, work_out, room);
+    clear(Average(), fill_rate, held_share, serve_rate), clear(decltype(ledger)::value_type(), ledger);
+    clear(kLongAgo, launched, out_since, next_trial, heard_at, filled_at, cut_at), clear(1.0, weight);
+    return n;
   }
 
   // Sizes that drift with load would move every home; there all count alike.
@@ -635,10 +636,7 @@
   }
 
   bool time_is_up(const Pull& p) { return owed(p) && now >= p.hard_stop - number("PeriodS", 0.001); }
-  void forfeit(Pull& p) {
-    p.over = true;
-    actions.forfeit(p.id);
-  }
+  void forfeit(Pull& p) { p.over = true, actions.forfeit(p.id); }
 
   // Rule 2: a binding pull that may have run gets no further hand-off, and no promise; nor does a
   // fingerprinted one whose mark may be forgotten by now.
@@ -671,8 +669,7 @@
   bool has_write_way(const Pull& p) { return ready(p) && is_write(p) && write_way(p); }
   template <Way (Mind::*way)(const Pull&)>
   void look(Pull& p) {
-    take<way>(p);
-    ++p.looks, p.under_way = false;
+    take<way>(p), ++p.looks, p.under_way = false;
   }
   void take_stale_way(Pull& p) {
     const Way way = stale_way(p);
@@ -680,10 +677,7 @@
     hand_off(p, way);
   }
 
-  void wait(Pull& p, Seconds pause) {
-    p.resume_at = now + pause;
-    actions.wake(p.resume_at, {"resume:" + p.id.value});
-  }
+  void wait(Pull& p, Seconds pause) { actions.wake(p.resume_at = now + pause, {"resume:" + p.id.value}); }
   bool is_late_alone(const Pull& p) { return owed(p) && p.overdue; }
   void wait_on(Pull& p) { p.overdue = false; }
 
@@ -829,6 +823,12 @@
     const Seconds done = number("FamilyInfo.PurgeDoneS", 10) + 1;
     const auto over = [&](const auto& entry) { return now - entry.second > done; };
     std::erase_if(object_purges, over), std::erase_if(group_purges, over);
+    // Guards against ids that keep coming: a gone node is forgotten once nothing of it is out and its budget
+    // is past. It hurts nobody: should the id come back, it counts as just started.
+    for (int n = 0; n < count(); ++n)
+      if (!listed[n] && out_here[n] + out_from[n] == 0 &&
+          now - std::max(launched[n], heard_at[n]) > kRemember)
+        index.erase(name[n].value), name[n] = NodeId(), zone[n] = kind[n] = -1;
     actions.wake(now + kSweepEvery, {"sweep"});
   }
 
@@ -883,6 +883,7 @@
 Director::Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions)
     : mind_(std::make_unique<Mind>(now, std::move(settings), seed, actions)) {}
 Director::~Director() = default;
+std::size_t Director::nodes_known() const { return mind_->index.size(); }
 
 void Director::list_starts(Seconds now, ListScope scope) {
   Mind& m = mind_->at(now);
@@ -907,10 +908,9 @@
 
 void Director::list_ends(Seconds now) {
   Mind& m = mind_->at(now);
-  if (m.scope == ListScope::kFull || m.scope == ListScope::kCached) {
-    for (int n = 0; n < m.count(); ++n)
-      if (!m.fresh[n]) m.listed[n] = m.running[n] = false;  // rule 3: missing from a full list is gone
-  }
+  const bool whole = m.scope == ListScope::kFull || m.scope == ListScope::kCached;
+  for (int n = 0; n < m.count(); ++n)
+    if (whole && !m.fresh[n]) m.listed[n] = m.running[n] = false;  // rule 3: missing from a full list is gone
 }
 
 void Director::pull_arrived(Seconds now, const PullId& id, GradeIndex grade, TenantIndex, ObjectId object,
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -112,6 +113,9 @@
   void group_purged(Seconds now, GroupId group, Seconds age);
   void woken(Seconds now, const TimerToken& token);
 
+  // Those listed, and those gone whose figures are still needed.
+  std::size_t nodes_known() const;
+
  private:
   struct Mind;
   std::unique_ptr<Mind> mind_;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -45,8 +45,10 @@
   config.known = known["results"].items();
   config.known_to = known["seq"].whole().value_or(0);
   protocol::flatten_settings(config.settings, settings);
-  config.names = {texts(settings["RequestClasses"], "Name"), texts(settings["Zones"]),
-                  texts(settings["Kinds"])};
+  config.names = {
+      texts(settings["RequestClasses"], "Name"), texts(settings["Zones"]), texts(settings["Kinds"]), {}};
+  for (const std::string& writes : texts(settings["FamilyInfo"]["GoesThrough"]))
+    config.names.writes.push_back(writes == "true");
   if (config.names.grades.empty()) throw BadConfig("the settings name no RequestClasses");
   config.limits = fill_limits((*json)["limits"], settings);
   return config;
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -29,6 +29,15 @@
   // bodies 38 MB, answers waiting for slow clients 48 MB, the answers of the pulls that are then still open
   // 82 MB (240,000 bytes each), nodes' buffers 10 MB. The days played take 7 MB.
   limits.waiting_answers = count(memory / 4, kMb, 1024.0 * kMb);
+  // What could not be sent, or would be waited for, ten times longer than any grade allows is no figure of a
+  // pull: one of those would drown what is learnt from all others.
+  double longest = 0;
+  for (const protocol::Json& grade : settings["RequestClasses"].items())
+    longest = std::max(longest, grade["DeadlineS"].number(0));
+  limits.longest_wait = 10 * (longest > 0 ? longest : 6);
+  const double flow = settings["FamilyInfo"]["StreamKbPerS"].number(0);
+  limits.largest_kb = flow > 0 ? flow * limits.longest_wait : 1e6;
+  limits.groups = 256;  // as the protocol has it
 
   limits.clients = count(sockets / 3, 1, 100000);
   // 32 are left for the log, epoll, signals, the listener and the change log, which take 8.
@@ -42,18 +51,21 @@
   limits.begin_within = limits.connect;  // under every grace of the rules on drains and purges
   // A good part of the node's own time, so that the node never closes first.
   limits.link_idle = 0.7 * allowed["ConnIdleS"].number(15);
-  limits.link_doubt = limits.connect;  // as long as a new connection would have to come up
+  limits.link_doubt = limits.connect;        // as long as a new connection would have to come up
   limits.link_stall = 0.4 * limits.connect;  // a node writes an answer at once; ten late turns of a loop
-  limits.client_idle = 60;             // clients close theirs after 4 s
-  limits.request_whole = 10;           // a request's bytes come within a second
-  limits.answer_taken = 10;            // longer than any client waits
-  limits.linger = 0.25;                // one way to a client and back, several times
-  limits.stop_margin = 0.03;           // the way to the client (12 ms) and a late turn of the loop
-  limits.overdue = 0.005;              // the module's own end comes within a turn of the loop
-  limits.log_silent = 2.2;             // two comments missed; a stop must be noticed within 4 s
-  limits.log_again = 0.2;              // a change must be told within seconds
-  limits.serve_on = 0.75;              // new work may come until 0.6 s after SIGTERM
-  limits.leave = 8;                    // past the longest hard stop; each pull has ended by itself
+  limits.client_idle = 6;                    // clients close theirs after 4 s; some would keep them for good
+  limits.request_whole = 2.2;                // comes within a second; who does not is owed an end within 3 s
+  limits.first_request = 0.05;               // several ways from a client
+  limits.accept_again = 0.01;                // a client is not kept waiting for longer than its way here
+  limits.answer_taken = 10;                  // longer than any client waits
+  limits.linger = 0.25;                      // one way to a client and back, several times
+  limits.linger_most = 1.5;                  // 60 MB at full speed
+  limits.stop_margin = 0.03;                 // the way to the client (12 ms) and a late turn of the loop
+  limits.overdue = 0.005;                    // the module's own end comes within a turn of the loop
+  limits.log_silent = 2.2;                   // two comments missed; a stop must be noticed within 4 s
+  limits.log_again = 0.2;                    // a change must be told within seconds
+  limits.serve_on = 0.75;                    // new work may come until 0.6 s after SIGTERM
+  limits.leave = 8;                          // past the longest hard stop; each pull has ended by itself
   return limits;
 }
 
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -28,7 +28,7 @@
         module_(scheduler_, config.limits, counters_, log, config.names, config.settings, config.seed),
         change_log_(scheduler_, config.limits, counters_, log, config.change_log, config.change_log_host,
                     config.known_to, module_),
-        front_(scheduler_, config.limits, counters_, config.listen, config.names.grades, module_) {
+        front_(scheduler_, config.limits, counters_, config.listen, config.names, module_) {
     scheduler_.on_failure = [this](std::exception_ptr failure) {
       ++counters_.failures;
       try {
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -25,14 +25,17 @@
 bool read_figure(std::string_view text, double most, double& value) {
   return read_number(text, value) && std::isfinite(value) && value >= 0 && value <= most;
 }
-constexpr double kLargest = 1e12;  // ms and KB: beyond, it is no figure of a pull
-
 // What goes on in a line of words must hold no mark of that line.
 bool is_word(std::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
     return c > 0x20 && c < 0x7f && c != ',' && c != '=' && c != '+';
   });
 }
+// What may follow a whole request on its connection: the start of another.
+bool begins_request(std::string_view text) {
+  return std::all_of(text.begin(), text.begin() + std::min<std::size_t>(3, text.size()),
+                     [](char c) { return (c >= 'A' && c <= 'Z') || c == '\r' || c == '\n'; });
+}
 bool is_id(std::string_view text) {
   return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
@@ -40,14 +43,13 @@
 }  // namespace
 
 Front::Front(Scheduler& scheduler, const Limits& limits, Counters& counters, const transport::Address& at,
-             std::vector<std::string> grades, ModuleActor& module)
+             const Names& names, ModuleActor& module)
     : scheduler_(scheduler),
       limits_(limits),
       counters_(counters),
       listener_(scheduler, at, limits.backlog),
-      grades_(std::move(grades)),
-      module_(module),
-      room_(scheduler) {}
+      names_(names),
+      module_(module) {}
 
 Front::~Front() = default;
 
@@ -71,7 +73,7 @@
     }
     while (self.clients_.size() >= self.limits_.clients && !self.make_room()) {
       ++self.counters_.accept_paused;
-      co_await self.room_.wait();
+      co_await self.scheduler_.sleep_until(Scheduler::now() + self.limits_.accept_again);
     }
     ++self.counters_.clients_accepted;
     self.clients_.push_back(std::make_shared<Client>(self, std::move(accepted.socket)));
@@ -79,14 +81,23 @@
   }
 }
 
-// Guards against connections that are kept open and not used while others wait to be accepted: the one that
-// has been idle longest goes. It hurts a client that asks in that very moment, and has to ask again.
+// Guards against connections that are kept open and not used while others wait to be accepted, and against
+// floods of those that say nothing or never a whole request: who goes first is decided by what a connection
+// has shown, and among the same by how long ago. It hurts a client that asks in that very moment, and has to
+// ask again.
 bool Front::make_room() {
-  std::shared_ptr<Client> longest;
-  for (const auto& client : clients_)
-    if (client->idle() && (!longest || client->idle_since() < longest->idle_since())) longest = client;
-  if (longest) longest->close_unless_busy();
-  return longest != nullptr;
+  using Standing = Client::Standing;
+  std::shared_ptr<Client> first;
+  Standing lowest = Standing::kStays;
+  const Seconds now = Scheduler::now();
+  for (const auto& client : clients_) {
+    const Standing standing = client->standing(now);
+    if (standing > lowest || standing == Standing::kStays) continue;
+    if (standing == lowest && first && client->idle_since() >= first->idle_since()) continue;
+    first = client, lowest = standing;
+  }
+  if (first) first->close_unless_busy();
+  return first != nullptr;
 }
 
 void Front::close() {
@@ -98,7 +109,15 @@
 void Front::ended(Client& client) {
   ++counters_.clients_closed;
   clients_.remove_if([&](const auto& held) { return held.get() == &client; });
-  room_.notify();
+}
+
+Client::Standing Client::standing(Seconds now) const {
+  if (busy_) return Standing::kStays;
+  if (closing_) return Standing::kLingering;
+  // The first request of a client that means well is on its way when it connects, as the next may be now.
+  if (now - moved_at_ < front_.limits_.first_request) return Standing::kStays;
+  if (!shown_) return Standing::kShownNothing;
+  return parser_.begun() || in_.size() > 0 ? Standing::kStays : Standing::kIdle;
 }
 
 Client::Client(Front& front, transport::Socket socket)
@@ -136,9 +155,9 @@
       co_await resumed_.wait();
       continue;
     }
-    const Seconds patience = closing_ && !busy_ ? limits.linger
-                             : parser_.begun()  ? limits.request_whole
-                                                : limits.client_idle;
+    const Seconds patience = closing_ && !busy_           ? limits.linger
+                             : parser_.begun() || !shown_ ? limits.request_whole
+                                                          : limits.client_idle;
     const Io io = co_await socket_.read(in_, limits.read_room, moved_at_ + patience);
     if (ended_) break;
     if (io.end == IoEnd::kTimedOut) {
@@ -154,7 +173,10 @@
       continue;
     }
     if (!io.ok()) break;
-    if (!parser_.begun()) moved_at_ = Scheduler::now();
+    // Guards against one that sends on for ever after a refusal, also where it never reads it. What it had to
+    // send is taken for a while: a connection closed with bytes unread would destroy the answer on its way.
+    if (closing_ && !busy_ && Scheduler::now() >= linger_until_) break;
+    if (closing_ || (shown_ && !parser_.begun())) moved_at_ = Scheduler::now();
     advance();
   }
 }
@@ -173,6 +195,8 @@
         if (parser_.expects_continue() && in_.size() == 0) socket_.write_now("HTTP/1.1 100 Continue\r\n\r\n");
         break;
       case HttpParser::Step::kDone:
+        // Guards against a length that says too little: what follows is then a body's rest, and no request.
+        if (!begins_request(in_.view())) return refuse(400);
         busy_ = true;
         keep_ = parser_.keeps_alive();
         serve();
@@ -196,17 +220,20 @@
 
 void Client::header(std::string_view name, std::string_view value) {
   Request& r = request_;
+  const Limits& limits = front_.limits_;
   if (same_name(name, "x-correlation-id")) {
+    r.bad = r.bad || !r.id.empty();
     r.has_id = is_id(value);
     r.id = value;
   } else if (same_name(name, "x-deadline-ms")) {
-    r.has_stop = read_figure(value, kLargest, r.wait);
+    r.bad = r.bad || r.has_stop;
+    r.has_stop = read_figure(value, limits.longest_wait * 1000, r.wait);
   } else if (same_name(name, "x-resent")) {
     r.resent = value == "1";
   } else if (same_name(name, "x-family")) {
-    r.bad = r.bad || !read_number(value, r.family);
+    r.bad = r.bad || !read_number(value, r.family) || r.family < 0 || r.family >= limits.groups;
   } else if (same_name(name, "x-need-kb")) {
-    r.bad = r.bad || !read_figure(value, kLargest, r.size_kb);
+    r.bad = r.bad || !read_figure(value, limits.largest_kb, r.size_kb);
   } else if (same_name(name, "if-none-match")) {
     if (value.starts_with("W/")) value.remove_prefix(2);
     if (value.size() >= 2 && value.front() == '"' && value.back() == '"')
@@ -223,6 +250,7 @@
   const std::string_view target = request_.target;
   if (target == "/_health") {
     ++front_.counters_.health_asked;
+    shown_ = true;
     return answer(request_.get ? 200 : 405, "", "ok\n");
   }
   if (!target.starts_with("/invoke/")) {
@@ -256,10 +284,16 @@
     if (!read_number(piece, part.value) || part.value < 0) return false;
   }
   ObjectId object;
-  const auto& grades = front_.grades_;
+  const auto& grades = front_.names_.grades;
   const auto known = std::find(grades.begin(), grades.end(), grade);
   if (known == grades.end() || !protocol::read_object(name, object)) return false;
   if (!request_.has_id || !request_.has_stop || request_.bad) return false;
+  // What a node would answer with an error: a read that brings bytes, a write that does not write.
+  const auto place = static_cast<std::size_t>(known - grades.begin());
+  const auto& writes = front_.names_.writes;
+  if (request_.get && !request_.body.empty()) return false;
+  if (place < writes.size() && writes[place] != request_.put) return false;
+  shown_ = true;
 
   // Guards against clients that ask and do not read: their answers must not fill the memory. Nothing has run.
   if (front_.waiting_answers_ > front_.limits_.waiting_answers) {
@@ -277,9 +311,9 @@
   const Seconds hard_stop = Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin);
   pull_ = {std::move(request_.id)};
   owed_ = true;
-  front_.module_.pull_arrived(pull_, {static_cast<int>(known - grades.begin())}, object, part,
-                              {request_.family}, hard_stop, request_.size_kb, request_.resent, request_.put,
-                              std::move(wording), weak_from_this());
+  front_.module_.pull_arrived(pull_, {static_cast<int>(place)}, object, part, {request_.family}, hard_stop,
+                              request_.size_kb, request_.resent, request_.put, std::move(wording),
+                              weak_from_this());
   return true;
 }
 
@@ -351,15 +385,14 @@
   self->busy_ = false;
   if (self->closing_) {
     // The client reads what it was sent before it sees the end, and is not waited for long.
+    self->linger_until_ = self->moved_at_ + self->front_.limits_.linger_most;
     self->socket_.finish();
-    self->front_.scheduler_.at(Scheduler::now() + self->front_.limits_.linger,
-                               [weak = self->weak_from_this()] {
-                                 if (const auto client = weak.lock()) client->leave();
-                               });
+    self->front_.scheduler_.at(self->linger_until_, [weak = self->weak_from_this()] {
+      if (const auto client = weak.lock()) client->leave();
+    });
   }
   self->advance();
   self->resumed_.notify();
-  if (self->idle()) self->front_.room_.notify();
 }
 
 void Client::close_unless_busy() {
--- a/src/routing/front.hpp
+++ b/src/routing/front.hpp
@@ -25,7 +25,7 @@
 class Front {
  public:
   Front(transport::Scheduler& scheduler, const Limits& limits, Counters& counters,
-        const transport::Address& at, std::vector<std::string> grades, ModuleActor& module);
+        const transport::Address& at, const Names& names, ModuleActor& module);
   ~Front();
 
   void start();
@@ -44,9 +44,8 @@
   const Limits& limits_;
   Counters& counters_;
   transport::Listener listener_;
-  std::vector<std::string> grades_;
+  const Names names_;
   ModuleActor& module_;
-  transport::Signal room_;
   std::list<std::shared_ptr<Client>> clients_;
   std::size_t waiting_answers_ = 0;  // bytes
 };
@@ -62,7 +61,9 @@
   void bounced(const PullId& pull, Seconds come_back_in) override;
   void forfeited(const PullId& pull) override;
 
-  bool idle() const { return !busy_ && !parser_.begun() && in_.size() == 0; }
+  // Who goes first when there is no room: the lower, the sooner; kStays for none of these.
+  enum class Standing { kLingering, kShownNothing, kIdle, kStays };
+  Standing standing(Seconds now) const;
   Seconds idle_since() const { return moved_at_; }
   void close_unless_busy();
 
@@ -70,7 +71,7 @@
   // The request being read.
   struct Request {
     bool get = false, put = false, resent = false, has_id = false, has_stop = false;
-    bool bad = false;
+    bool bad = false;  // a figure that is none, or a field that must be there once and is there twice
     std::string target, id, cached, body;
     Seconds wait = 0;
     double size_kb = 0;
@@ -104,6 +105,8 @@
   bool owed_ = false;     // by the module
   bool keep_ = true;
   bool closing_ = false;  // no further request is read
+  bool shown_ = false;    // a whole request of a kind that is served here has come
+  Seconds linger_until_ = 0;
   bool ended_ = false;
 };
 
--- a/src/routing/module.cpp
+++ b/src/routing/module.cpp
@@ -289,8 +289,12 @@
 }
 
 void ModuleActor::wake(Seconds at, const TimerToken& token) {
-  scheduler_.at(clock_.to_scheduler(at),
-                [this, token] { mailbox_.post([this, token] { director_->woken(clock_.now(), token); }); });
+  scheduler_.at(clock_.to_scheduler(at), [this, token] {
+    mailbox_.post([this, token] {
+      director_->woken(clock_.now(), token);
+      counters_.nodes = director_->nodes_known();
+    });
+  });
 }
 
 // No deployment lets a director probe today; the module does not ask for it.
--- a/src/routing/module.hpp
+++ b/src/routing/module.hpp
@@ -32,6 +32,7 @@
 // The names that stand for indexes in the settings.
 struct Names {
   std::vector<std::string> grades, zones, kinds;
+  std::vector<bool> writes;  // by grade, where the settings tell
 };
 
 class ModuleActor : public HandOffs, private Actions {
--- a/src/transport/buffer.hpp
+++ b/src/transport/buffer.hpp
@@ -41,9 +41,13 @@
     begin_ += std::min(count, size());
     if (begin_ < end_) return;
     begin_ = end_ = 0;
-    if (capacity_ <= keep_) return;
+    if (capacity_ > keep_) release();
+  }
+  // Gives the memory of an empty buffer back: whoever waits long for bytes needs none until they come.
+  void release() {
+    if (begin_ < end_) return;
     bytes_.reset();
-    capacity_ = 0;
+    begin_ = end_ = capacity_ = 0;
   }
 
  private:
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -35,9 +35,10 @@
 }
 
 void Scheduler::spawn(Task<> task) {
-  task.handle().promise().done = &any_done_;
-  resume_soon(task.handle());
+  task.handle().promise().done = &done_;
+  task.handle().promise().place = spawned_.size();
   spawned_.push_back(std::move(task));
+  resume_soon(spawned_.back().handle());
 }
 
 Scheduler::TimerKey Scheduler::at(Seconds when, Call what) {
@@ -87,15 +88,15 @@
   }
 }
 
+// The last one takes the place of one that is over: what it costs does not grow with the number of tasks.
 void Scheduler::clear_away() {
-  if (!std::exchange(any_done_, false)) return;
-  for (auto task = spawned_.begin(); task != spawned_.end();) {
-    if (!task->handle().done()) {
-      ++task;
-      continue;
-    }
-    const std::exception_ptr failure = task->handle().promise().failure;
-    task = spawned_.erase(task);
+  while (detail::PromiseBase* over = done_) {
+    done_ = over->next_done;
+    const std::exception_ptr failure = over->failure;
+    std::swap(spawned_[over->place], spawned_.back());
+    spawned_[over->place].handle().promise().place = over->place;
+    const Task<> task = std::move(spawned_.back());
+    spawned_.pop_back();
     tell(failure);
   }
 }
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -7,10 +7,10 @@
 #include <deque>
 #include <functional>
 #include <limits>
-#include <list>
 #include <map>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "transport/call.hpp"
 #include "transport/task.hpp"
@@ -73,8 +73,8 @@
   std::uint64_t timers_made_ = 0;
   std::deque<std::coroutine_handle<>> ready_;
   std::map<TimerKey, Call> timers_;
-  std::list<Task<>> spawned_;
-  bool any_done_ = false;
+  std::vector<Task<>> spawned_;
+  detail::PromiseBase* done_ = nullptr;
 };
 
 enum class Wake { kReady, kTimedOut, kClosed };
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -91,6 +91,7 @@
     if (count == 0) co_return Io{IoEnd::kEnded, 0};
     if (errno == EINTR) continue;
     if (!would_block(errno)) co_return Io{IoEnd::kBroken, 0};
+    into.release();
     const Wake wake = co_await watch_->readable(until);
     if (wake == Wake::kTimedOut) co_return Io{IoEnd::kTimedOut, 0};
     if (wake == Wake::kClosed) co_return Io{IoEnd::kClosed, 0};
--- a/src/transport/task.hpp
+++ b/src/transport/task.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <coroutine>
+#include <cstddef>
 #include <exception>
 #include <optional>
 #include <utility>
@@ -17,14 +18,16 @@
 struct PromiseBase {
   std::coroutine_handle<> awaiting;
   std::exception_ptr failure;
-  bool* done = nullptr;  // set at the end of a spawned task, for the scheduler to clear away
+  // Of a spawned task: its place with the scheduler, and the list of those at their end, to be cleared away.
+  std::size_t place = 0;
+  PromiseBase **done = nullptr, *next_done = nullptr;
 
   struct Final {
     bool await_ready() const noexcept { return false; }
     template <class Promise>
     std::coroutine_handle<> await_suspend(std::coroutine_handle<Promise> self) noexcept {
       PromiseBase& promise = self.promise();
-      if (promise.done) *promise.done = true;
+      if (promise.done) promise.next_done = std::exchange(*promise.done, &promise);
       return promise.awaiting ? promise.awaiting : std::noop_coroutine();
     }
     void await_resume() const noexcept {}
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -473,3 +473,21 @@
   const std::string trace = rig.taken();
   CHECK_MESSAGE(trace.find("no fill") == std::string::npos, trace);  // a parent without room
 }
+
+TEST_CASE("nodes that are gone are forgotten, with nothing of them out and their budget past") {
+  Rig rig;
+  rig.list(ListScope::kFull, "c0 P1 O");
+  rig.pull("out", 77);
+  for (int i = 0; i < 50; ++i) {
+    rig.list(ListScope::kChanges, "c" + std::to_string(i), Readiness::kGone);
+    rig.list(ListScope::kChanges, "c" + std::to_string(i + 1));
+    rig.run_until(rig.now + 5);
+  }
+  CHECK(rig.director->nodes_known() < 15);  // ten of the last 30 s, and those listed
+  rig.ends("out", 0, Result::kTimedOut, Note::kNone, 0, true);
+  rig.list(ListScope::kChanges, "c0");
+  rig.list(ListScope::kChanges, "c50", Readiness::kGone);
+  rig.taken();
+  for (int i = 0; i < 9; ++i) rig.pull("p" + std::to_string(i), 5000 + i);
+  check_trace("came_back", rig.taken());  // as one that has just started: no more than its budget
+}
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -21,16 +21,15 @@
     if (change) change(limits);
     Settings settings = Rig::usual_settings();
     settings["FamilyInfo.Direct"] = "true";
-    module.emplace(scheduler, limits, counters, log,
-                   Names{{"video", "docs", "write"}, {"z0", "z1", "z2"}, {"cache", "parent", "origin"}},
-                   settings, 7);
+    const Names names{
+        {"video", "docs", "write"}, {"z0", "z1", "z2"}, {"cache", "parent", "origin"}, {false, false, true}};
+    module.emplace(scheduler, limits, counters, log, names, settings, 7);
     module->start();
     tell("\"full\":true",
          {entry("c1", cache.address, "z2", "cache"), entry("P1", parent.address, "z0", "parent"),
           entry("O", origin.address, "z1", "origin")},
          true);
-    front.emplace(scheduler, limits, counters, *transport::Address::parse("127.0.0.1:0"),
-                  std::vector<std::string>{"video", "docs", "write"}, *module);
+    front.emplace(scheduler, limits, counters, *transport::Address::parse("127.0.0.1:0"), names, *module);
     front->start();
   }
   static std::string entry(const std::string& id, transport::Address at, const std::string& zone,
@@ -51,6 +50,10 @@
     return "GET " + target + " HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: " + id +
            "\r\nX-Deadline-Ms: 15000\r\nX-Family: 17\r\nX-Need-Kb: 412.5\r\n" + more + "\r\n";
   }
+  static std::string put(const std::string& id, const std::string& rest) {
+    return "PUT /invoke/write/8/block-0 HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: " + id +
+           "\r\nX-Deadline-Ms: 15000\r\n" + rest;
+  }
   std::shared_ptr<End> client(bool reads = true) { return dial(scheduler, front->address(), reads); }
   void until(const std::function<bool()>& holds) { CHECK(runs_until(scheduler, holds)); }
   void hears(StandIn& node, const std::string& words) {
@@ -107,7 +110,7 @@
   trace += "-- the client heard\n" + Site::text(client->heard);
 
   const auto other = site.client();
-  other->send(Site::get("00000000000000aa", "/invoke/write/8/block-0"));
+  other->send(Site::put("00000000000000aa", "Content-Length: 2\r\n\r\nab"));
   site.hears(site.origin, "serve 00000000000000aa");
   site.origin.ends[0]->reset();
   site.hears(*other, "500");
@@ -172,13 +175,24 @@
   const std::string headers =
       " HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: 0000000000000001\r\nX-Deadline-Ms: 900\r\n";
   for (const std::string& text :
-       {std::string("nonsense\r\n\r\n"), "GET /else" + headers + "\r\n",
+       {std::string("nonsense\r\n\r\n"),
+        "GET /else" + headers + "\r\n",
         "DELETE /invoke/video/7f/block-0" + headers + "\r\n",
-        "GET /invoke/audio/7f/block-0" + headers + "\r\n", "GET /invoke/video/xyz/block-0" + headers + "\r\n",
-        "GET /invoke/video/7f/part-0" + headers + "\r\n", "GET /invoke/video/7f/block--1" + headers + "\r\n",
+        "GET /invoke/audio/7f/block-0" + headers + "\r\n",
+        "GET /invoke/video/xyz/block-0" + headers + "\r\n",
+        "GET /invoke/video/7f/part-0" + headers + "\r\n",
+        "GET /invoke/video/7f/block--1" + headers + "\r\n",
         "GET /invoke/video" + headers + "\r\n",
         "GET /invoke/video/7f/block-0" + headers + "X-Family: many\r\n\r\n",
         "GET /invoke/video/7f/block-0" + headers + "X-Need-Kb: nan\r\n\r\n",
+        "GET /invoke/video/7f/block-0" + headers + "X-Family: 256\r\n\r\n",
+        "GET /invoke/video/7f/block-0" + headers + "X-Need-Kb: 1e11\r\n\r\n",
+        "GET /invoke/video/7f/block-0" + headers + "X-Correlation-Id: 0000000000000002\r\n\r\n",
+        "GET /invoke/video/7f/block-0" + headers + "X-Deadline-Ms: 900000000\r\n\r\n",
+        "GET /invoke/video/7f/block-0" + headers + "Content-Length: 2\r\n\r\nab",
+        "GET /invoke/write/7f/block-0" + headers + "\r\n",
+        "PUT /invoke/video/7f/block-0" + headers + "Content-Length: 2\r\n\r\nab",
+        "PUT /invoke/write/7f/block-0" + headers + "Content-Length: 2\r\n\r\nabcdef",
         std::string("GET /invoke/video/7f/block-0 HTTP/1.1\r\nHost: s\r\n\r\n"),
         "PUT /invoke/write/7f/block-0" + headers + "Content-Length: 999999999\r\n\r\n",
         "GET /" + std::string(70000, 'a') + " HTTP/1.1\r\n\r\n",
@@ -255,6 +269,49 @@
   CHECK(site.front->clients() == 2);
 }
 
+TEST_CASE("at the limit those that have shown nothing go before one that is idle after a good request") {
+  Site site([](Limits& limits) { limits.clients = 3, limits.first_request = 0; });
+  const auto good = site.client();
+  good->send(Site::get(kId1));
+  site.hears(site.cache, "serve " + kId1);
+  site.cache.ends[0]->send(kId1 + " ACK - 3\r\none\r\n");
+  site.hears(*good, "one");
+  const auto silent = site.client(), half = site.client();
+  half->send("GET /invoke/vi");
+  const auto next = site.client(), last = site.client();
+  site.until([&] { return silent->ended && half->ended; });
+  CHECK_FALSE(good->ended);
+  good->send(Site::get(kId2));
+  site.hears(site.cache, "serve " + kId2);
+}
+
+TEST_CASE("half a request, or none, is ended in time; one that is idle after a good request may stay") {
+  Site site([](Limits& limits) { limits.request_whole = 0.02; });
+  const auto good = site.client();
+  good->send("GET /_health HTTP/1.1\r\nHost: s\r\n\r\n");
+  site.hears(*good, "200 OK");
+  const auto silent = site.client(), half = site.client();
+  half->send("GET /invoke/vi");
+  site.until([&] { return silent->ended && half->ended; });
+  CHECK(silent->heard.empty());
+  CHECK(half->heard_all("HTTP/1.1 408"));
+  CHECK_FALSE(good->ended);
+}
+
+TEST_CASE("what is too large is refused, and the rest of it taken so that the refusal can be read") {
+  Site site([](Limits& limits) { limits.linger = 10, limits.linger_most = 15; });
+  const auto client = site.client();
+  client->send(Site::put(kId1, "Content-Length: 60000000\r\n\r\n"));
+  const std::string piece(1 << 20, 'x');
+  std::size_t sent = 0;
+  site.until([&] {
+    sent += client->try_send(piece);
+    return sent >= 60000000;
+  });
+  CHECK(client->heard.starts_with("HTTP/1.1 413"));
+  CHECK(site.counters.taken == 0);
+}
+
 TEST_CASE("a hard stop: one whole answer before it, whatever the nodes do") {
   Site site;
   const auto client = site.client();
