The end of a write is held back for a moment, so that a reset before it loses nothing

At fault: wrote() in src/routing/peer.cpp, which holds a hand-off for out once its last byte is in the socket; a reset then leaves open whether it ran.

--- a/src/limits.hpp
+++ b/src/limits.hpp
@@ -29,6 +29,7 @@
   // times
   double connect = 0;        // to set up a connection to a node
   double begin_within = 0;   // for a hand-off's first byte to leave, else it is not sent
+  double hold_back = 0;      // the end of a write, from the rest of it
   double link_idle = 0;      // a connection to a node with nothing out: before the node closes it
   double link_doubt = 0;     // nothing heard on a connection while something was given up on it
   double link_stall = 0;     // nothing more of an answer that has begun: it will not end
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -49,6 +49,7 @@
 
   limits.connect = allowed["ConnectTimeoutS"].number(0.4);
   limits.begin_within = limits.connect;  // under every grace of the rules on drains and purges
+  limits.hold_back = 0.01;  // longer than a node takes to read what has come; a write has 100 times as long
   // A good part of the node's own time, so that the node never closes first.
   limits.link_idle = 0.7 * allowed["ConnIdleS"].number(15);
   limits.link_doubt = limits.connect;        // as long as a new connection would have to come up
--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -145,6 +145,7 @@
   open.timer = watch(pull, number, std::min(give_up_at, now + limits_.begin_within), give_up_at);
   link->open.emplace(pull, open);
   link->out.push_back({protocol::serve_line(pull, wording, give_up_at - now, node_, fill), pull});
+  if (limits_.hold_back > 0 && !wording.body.empty()) link->out.back().held = 2;
   pump(link);
 }
 
@@ -269,6 +270,7 @@
     open.moved_on = true;
     link->open.erase(pull);
     other->open.emplace(pull, open);
+    piece->whole_at = 0;
     other->out.push_back(std::move(*piece));
     pump(other);
   }
@@ -290,9 +292,25 @@
 }
 
 // Writes as much as goes. False: the rest must wait until the socket takes more.
+// The end of a write is held back for a moment: as long as it is, the write can't have run. Guards against
+// connections that are reset when new, when idle or while a request comes, where nobody could say whether a
+// write had run, and so it could not be sent again. Costs a write that moment.
 bool Peer::write_out(const LinkPointer& link) {
   while (!link->out.empty()) {
-    const Io io = link->socket.write_now(std::string_view(link->out.front().bytes).substr(link->out_sent));
+    Piece& piece = link->out.front();
+    const std::size_t first = piece.bytes.size() - piece.held;
+    const bool whole = link->out_sent >= first;
+    if (whole && piece.held > 0) {
+      const Seconds now = Scheduler::now();
+      if (piece.whole_at == 0) {
+        piece.whole_at = now + limits_.hold_back;
+        scheduler_.at(piece.whole_at, [self = shared_from_this(), link] { self->pump(link); });
+      }
+      if (now < piece.whole_at) return true;
+    }
+    const std::string_view bytes =
+        std::string_view(piece.bytes).substr(0, whole ? piece.bytes.size() : first);
+    const Io io = link->socket.write_now(bytes.substr(link->out_sent));
     wrote(*link, io.bytes);
     if (io.end == IoEnd::kTimedOut) return false;
     if (!io.ok()) return true;  // the reading side ends the connection, after what the node still had to say
--- a/src/routing/peer.hpp
+++ b/src/routing/peer.hpp
@@ -56,7 +56,9 @@
   };
   struct Piece {
     std::string bytes;
-    PullId pull;  // empty: a cancel, which nobody waits for
+    PullId pull;           // empty: a cancel, which nobody waits for
+    std::size_t held = 0;  // bytes of its end that are held back for a moment
+    Seconds whole_at = 0;  // when they may go, once all before them has gone
   };
   class Link;
   using LinkPointer = std::shared_ptr<Link>;
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -185,6 +185,23 @@
   CHECK(pair.desk.trace == "large/0 at c1: not sent\n");
 }
 
+TEST_CASE("a write that a reset cuts off before its held-back end goes on elsewhere, and whole") {
+  Pair pair;
+  pair.desk.limits.links_per_node = 3, pair.desk.limits.hold_back = 15;
+  pair.desk.hand_off("p1", 0, 15, 4);
+  pair.until_heard(" 4\r\nbbbb");
+  pair.node.ends[0]->reset();
+  pair.until_heard(" 4\r\nbbbb", 1);
+  CHECK_FALSE(pair.node.heard_all("bbbb\r\n", 0));
+  CHECK(pair.desk.ends == 0);
+  pair.desk.limits.hold_back = 0.001;
+  pair.desk.hand_off("p2", 0, 15, 3);
+  pair.until_heard("bbb\r\n", 2);
+  pair.node.ends[2]->send("p2 ACK - 0\r\n\r\n");
+  pair.desk.until(1);
+  CHECK(pair.desk.trace == "p2/0 at c1: completed\n");
+}
+
 TEST_CASE("half written: it never ran, and never will; what waited behind goes on elsewhere") {
   Pair pair(false);  // the node never reads
   pair.desk.limits.link_doubt = 100;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -18,6 +18,7 @@
     const auto nothing = *protocol::Json::parse("{}");
     limits = program::fill_limits(nothing, nothing);
     limits.client_idle = 15, limits.link_doubt = 15, limits.link_stall = 15, limits.links_per_node = 1;
+    limits.hold_back = 0;
     if (change) change(limits);
     Settings settings = Rig::usual_settings();
     settings["FamilyInfo.Direct"] = "true";
