--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -787,7 +787,7 @@
     const int n = asked ? off.source : off.node;
     const bool near = (asked ? in_use(n) : out_here[n]) >= kNearLimit * room[n];
     measure_room(n, 0, near && is_crowded(p, now - off.sent), off.sent);
-    if (!asked || filled_at[off.source] >= std::min(off.sent, now - kLongOut)) return false;
+    if (!asked || filled_at[off.source] >= off.sent) return false;
     strike(off.source, 1);
     p.bad_sources.push_back(off.source), p.in_vain = true;
     return true;
