--- a/src/limits.hpp
+++ b/src/base/limits.hpp
@@ -48,6 +48,22 @@
   double serve_on = 0;       // after SIGTERM, new work is still taken for so long
   double leave = 0;          // after SIGTERM, all is over by then
 
+  // flow export; nothing of it counts where that is off
+  std::size_t flow_connections = 0;  // counted at once
+  std::size_t flow_names = 0;        // of depots, nodes and grades
+  std::size_t flows_a_turn = 0;      // told of in one turn of the loop
+  std::size_t spool_jobs = 0;        // that wait for the disk
+  std::size_t spool_read = 0;        // bytes read at once for a collector that catches up
+  double flow_tick = 0;              // between looks at what is due
+  double flow_name_kept = 0;         // a name that no record needs any more
+  double flow_connect = 0;           // to reach a collector
+  double flow_stall = 0;             // a collector that takes nothing more is left
+  double flow_pause = 0;             // after the first failure of a collector
+  double flow_pause_longest = 0;     // after many
+  double flow_come_home = 0;         // between looks whether an earlier collector is back
+  double flow_trim = 0;              // between looks at the spool's age, and writings of its cursors
+  double flow_leave = 0;             // for the last records, once all pulls are answered
+
   bool operator==(const Limits&) const = default;
 };
 
--- /dev/null
+++ b/src/flow/backlog.cpp
@@ -0,0 +1,32 @@
+#include "flow/backlog.hpp"
+
+#include <utility>
+
+namespace hareramp::flow {
+
+namespace {
+constexpr std::size_t kOverhead = 96;  // bytes that hold a message beside its own
+}
+
+MessageNumber Backlog::push(MessagePointer message) {
+  bytes_ += message->bytes.size() + kOverhead;
+  messages_.push_back(std::move(message));
+  return end() - 1;
+}
+
+MessagePointer Backlog::at(MessageNumber number) const {
+  if (number < first_ || number >= end()) return nullptr;
+  return messages_[number - first_];
+}
+
+void Backlog::pop() {
+  bytes_ -= messages_.front()->bytes.size() + kOverhead;
+  messages_.pop_front();
+  ++first_;
+}
+
+void Backlog::release(MessageNumber number) {
+  while (!messages_.empty() && first_ < number) pop();
+}
+
+}  // namespace hareramp::flow
--- /dev/null
+++ b/src/flow/exporter.cpp
@@ -0,0 +1,702 @@
+#include "flow/exporter.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "transport/tcp_counts.hpp"
+
+namespace hareramp::flow {
+
+using ipfix::kForward;
+using ipfix::kReverse;
+using transport::Scheduler;
+using transport::Task;
+
+namespace {
+
+constexpr Seconds kPoll = 0.05;  // s between a receiver's looks where nothing wakes it
+
+Endpoint endpoint_of(const transport::Address& address) {
+  Endpoint endpoint;
+  const auto bytes = address.bytes();
+  endpoint.v6 = bytes.size() == 16;
+  std::copy(bytes.begin(), bytes.end(), endpoint.address.begin());
+  endpoint.port = address.port();
+  return endpoint;
+}
+
+boost::asio::ip::address ip_of(const transport::Address& address) {
+  const auto bytes = address.bytes();
+  if (bytes.size() == 16) {
+    boost::asio::ip::address_v6::bytes_type raw;
+    std::copy(bytes.begin(), bytes.end(), raw.begin());
+    return boost::asio::ip::address_v6(raw);
+  }
+  boost::asio::ip::address_v4::bytes_type raw;
+  std::copy(bytes.begin(), bytes.end(), raw.begin());
+  return boost::asio::ip::address_v4(raw);
+}
+
+std::string name_of(const std::vector<CollectorSettings>& collectors) {
+  std::string name;
+  for (const CollectorSettings& one : collectors)
+    name += (name.empty() ? "" : ",") + std::string(one.transport == Transport::kTcp ? "tcp:" : "udp:") +
+            one.address.text();
+  return name;
+}
+
+}  // namespace
+
+// An open way to one collector.
+struct Exporter::Session {
+  std::optional<transport::Datagrams> datagrams;
+  transport::Socket stream;
+  // Over TCP: where each message ended that the collector's kernel has not acknowledged yet.
+  struct Sent {
+    std::uint64_t end = 0;  // of the session's bytes
+    MessageNumber number = 0;
+    std::uint32_t flows = 0;
+    std::uint64_t packets = 0, octets = 0;
+  };
+  std::deque<Sent> unacknowledged;
+  std::uint64_t written = 0;
+
+  void forget_acknowledged() {
+    const std::uint64_t sure = written - std::min<std::uint64_t>(written, stream.unacknowledged());
+    while (!unacknowledged.empty() && unacknowledged.front().end <= sure) unacknowledged.pop_front();
+  }
+};
+
+// Whoever gets every message of a stream once: a collector, or several that stand in for one another.
+struct Exporter::Receiver {
+  Receiver(Scheduler& scheduler, std::vector<CollectorSettings> all, const DeliveryTimes& times,
+           std::uint64_t seed)
+      : collectors(std::move(all)),
+        name(name_of(collectors)),
+        delivery(times, collectors.size(), seed),
+        awake(scheduler),
+        from_disk_ready(scheduler) {}
+
+  // The first message that is not surely there.
+  MessageNumber floor() const {
+    if (session && !session->unacknowledged.empty()) return std::min(cursor, session->unacknowledged.front().number);
+    return session && session->datagrams && cursor > 0 && sent_any ? cursor - 1 : cursor;
+  }
+
+  const std::vector<CollectorSettings> collectors;
+  const std::string name;
+  Delivery delivery;
+  std::unique_ptr<Session> session;
+  MessageNumber cursor = 0;  // the next to be sent
+  ipfix::NotSent not_sent, not_sent_told;
+  transport::Signal awake, from_disk_ready;
+  std::deque<storage::SpoolEntry> from_disk;
+  bool stopped = false, sending = false, sent_any = false;
+};
+
+struct Exporter::Stream {
+  Stream(Protocol which, const ipfix::EncoderSettings& settings, ipfix::Encoder::Done done, std::size_t bytes,
+         MessageNumber first)
+      : protocol(which), encoder(settings, std::move(done)), backlog(bytes, first), on_disk(first) {}
+
+  const Protocol protocol;
+  ipfix::Encoder encoder;
+  Backlog backlog;
+  std::vector<ReceiverPointer> receivers;
+  // Where there is a spool: all before this number went through it, and may be sent.
+  MessageNumber on_disk;
+  MessageNumber to_disk = 0;         // up to here jobs are out
+  std::set<MessageNumber> not_kept;  // in memory only: the disk did not take them
+  bool spooled = false;
+  std::uint64_t messages = 0, flows = 0, octets = 0;
+  Seconds templates_at = 0;
+  std::size_t since_templates = 0;
+
+  MessageNumber sendable() const { return spooled ? on_disk : backlog.end(); }
+};
+
+Exporter::Exporter(Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
+                   const ExportSettings& settings, std::uint64_t seed)
+    : scheduler_(scheduler),
+      limits_(limits),
+      counters_(counters),
+      log_(log),
+      settings_(settings),
+      seed_(seed),
+      started_(clock_.now()),
+      table_({settings.flows_most, limits.flow_connections, settings.active_timeout, settings.idle_timeout},
+             static_cast<std::uint64_t>(started_ * 1000) << 20, *this),
+      names_(limits.flow_name_kept, limits.flow_names),
+      tapped_(limits.flow_connections) {
+  MessageNumber first = 0;
+  std::uint32_t first_sequence = 0;
+  if (settings.spool.enabled) {
+    std::string error, damaged;
+    spool_ = storage::Spool::open(settings.spool.directory, settings.spool.bytes, error, damaged);
+    if (!spool_) throw std::runtime_error("flow_export: can't open the spool: " + error);
+    if (!damaged.empty()) log_.event(LogLevel::kError, "spool_damaged", "flow export: " + damaged);
+    worker_ = std::make_unique<storage::Worker>(scheduler, limits.spool_jobs);
+    if (const auto last = spool_->last(error)) first = last->number + 1, first_sequence = last->next_sequence;
+    stored_cursors_ = spool_->cursors(error);
+    for (const auto& [reader, next] : stored_cursors_) first = std::max(first, next);
+  }
+  for (const Protocol protocol : {Protocol::kIpfix, Protocol::kNetflow9}) {
+    const bool ipfix = protocol == Protocol::kIpfix;
+    ipfix::EncoderSettings encoder;
+    encoder.version = ipfix ? ipfix::Version::kIpfix : ipfix::Version::kNetflow9;
+    encoder.domain = settings.observation_domain;
+    encoder.enterprise = settings.enterprise_number;
+    encoder.message_bytes = settings.message_bytes;
+    encoder.started = started_;
+    encoder.first_sequence = ipfix ? first_sequence : 0;
+    const auto place = static_cast<std::size_t>(protocol);
+    streams_[place] = std::make_unique<Stream>(
+        protocol, encoder, [this, place](ipfix::Message message) { finished(*streams_[place], std::move(message)); },
+        settings.queue_bytes, ipfix ? first : 0);
+    streams_[place]->spooled = ipfix && spool_ != nullptr;
+    streams_[place]->to_disk = streams_[place]->on_disk;
+  }
+}
+
+Exporter::~Exporter() = default;
+
+Exporter::Stream& Exporter::stream(Protocol protocol) { return *streams_[static_cast<std::size_t>(protocol)]; }
+
+DeliveryTimes Exporter::times() const {
+  DeliveryTimes times;
+  times.first_pause = limits_.flow_pause;
+  times.longest_pause = limits_.flow_pause_longest;
+  times.come_home = limits_.flow_come_home;
+  times.template_again = settings_.template_resend;
+  times.template_after = settings_.template_resend_messages;
+  times.replay_per_s = settings_.spool.replay_per_s > 0 ? settings_.spool.replay_per_s : 2000;
+  return times;
+}
+
+void Exporter::start() {
+  set_receivers(settings_);
+  scheduler_.spawn(live(*this));
+}
+
+void Exporter::set_receivers(const ExportSettings& settings) {
+  for (const auto& stream : streams_) {
+    std::vector<std::vector<CollectorSettings>> wanted;
+    std::vector<CollectorSettings> together;
+    for (const CollectorSettings& one : settings.collectors) {
+      if (one.protocol != stream->protocol) continue;
+      if (one.mode == Mode::kFailover)
+        together.push_back(one);
+      else
+        wanted.push_back({one});
+    }
+    if (!together.empty()) wanted.push_back(together);
+    std::vector<ReceiverPointer> kept;
+    for (const auto& collectors : wanted) {
+      const auto found = std::find_if(stream->receivers.begin(), stream->receivers.end(),
+                                      [&](const auto& one) { return one->collectors == collectors; });
+      if (found != stream->receivers.end()) {
+        (*found)->delivery.set_times(times());
+        kept.push_back(*found);
+        continue;
+      }
+      const auto made =
+          std::make_shared<Receiver>(scheduler_, collectors, times(), seed_ ^ (++receivers_made_ << 32));
+      made->cursor = stream->backlog.end();
+      if (stream->spooled) {
+        const auto stored = stored_cursors_.find(made->name);
+        if (stored != stored_cursors_.end()) made->cursor = std::min(made->cursor, stored->second);
+      }
+      kept.push_back(made);
+      scheduler_.spawn(serve(*this, *stream, made));
+    }
+    for (const auto& old : stream->receivers)
+      if (std::find(kept.begin(), kept.end(), old) == kept.end()) old->stopped = true, old->awake.notify();
+    stream->receivers = std::move(kept);
+  }
+}
+
+void Exporter::reload(const ExportSettings& settings) {
+  settings_.active_timeout = settings.active_timeout;
+  settings_.idle_timeout = settings.idle_timeout;
+  settings_.template_resend = settings.template_resend;
+  settings_.template_resend_messages = settings.template_resend_messages;
+  settings_.collectors = settings.collectors;
+  settings_.networks = settings.networks;
+  table_.set_times(settings_.active_timeout, settings_.idle_timeout);
+  set_receivers(settings_);
+  figures_due_ = true;
+}
+
+// --- what is counted ---
+
+std::optional<ConnectionNumber> Exporter::opened(int descriptor, Part part, NameNumber node, bool inbound) {
+  const auto own = transport::Address::own(descriptor), peer = transport::Address::peer(descriptor);
+  if (!own || !peer || finished_) return {};
+  Ends ends;
+  ends.initiator = endpoint_of(inbound ? *peer : *own);
+  ends.responder = endpoint_of(inbound ? *own : *peer);
+  ends.part = part;
+  ends.node = node;
+  const auto number = table_.opened(now(), ends);
+  if (!number) {
+    ++counters_.flows_uncounted;
+    return {};
+  }
+  tapped_[number->value] = {descriptor, inbound};
+  return number;
+}
+
+std::unique_ptr<Tap> Exporter::client(int descriptor) {
+  const auto number = opened(descriptor, Part::kClient, {}, true);
+  return number ? std::make_unique<Tap>(*this, *number, true) : nullptr;
+}
+
+std::unique_ptr<Tap> Exporter::node(int descriptor, Part part, const std::string& node) {
+  const auto number = opened(descriptor, part, name(ipfix::NameKind::kNode, node), false);
+  return number ? std::make_unique<Tap>(*this, *number, false) : nullptr;
+}
+
+NameNumber Exporter::name(ipfix::NameKind kind, const std::string& name) {
+  return names_.number(now(), kind, name,
+                       [this](ipfix::NameKind which, NameNumber number, const std::string& text) {
+                         for (const auto& stream : streams_)
+                           if (!stream->receivers.empty()) stream->encoder.name(now(), which, number, text);
+                       });
+}
+
+NameNumber Exporter::grade(const std::string& name_of_grade) { return name(ipfix::NameKind::kGrade, name_of_grade); }
+
+NameNumber Exporter::depot_of(int descriptor) {
+  const auto peer = transport::Address::peer(descriptor);
+  const std::string* depot = peer ? settings_.networks->find(ip_of(*peer)) : nullptr;
+  return depot ? name(ipfix::NameKind::kDepot, *depot) : NameNumber();
+}
+
+KernelCounts Exporter::kernel(ConnectionNumber connection) {
+  KernelCounts counts;
+  const Tapped& tapped = tapped_[connection.value];
+  const auto told = tapped.descriptor < 0 ? std::nullopt : transport::tcp_counts(tapped.descriptor);
+  if (!told) return counts;
+  const Direction out = tapped.inbound ? kReverse : kForward, in = tapped.inbound ? kForward : kReverse;
+  counts.segments[out] = told->segments_out;
+  counts.segments[in] = told->segments_in;
+  counts.octets[out] = told->bytes_out;
+  counts.octets[in] = told->bytes_in;
+  return counts;
+}
+
+void Exporter::record(const Record& record) {
+  ++counters_.flow_records;
+  for (const auto& stream : streams_)
+    if (!stream->receivers.empty()) stream->encoder.flow(now(), record);
+}
+
+// --- what becomes of it ---
+
+void Exporter::finished(Stream& stream, ipfix::Message message) {
+  ++counters_.flow_messages;
+  ++stream.messages;
+  ++stream.since_templates;
+  stream.flows += message.flows;
+  stream.octets += message.bytes.size();
+  stream.backlog.push(std::make_shared<const ipfix::Message>(std::move(message)));
+  if (stream.spooled) spool_what_waits(stream);
+  keep_bound(stream);
+  for (const auto& receiver : stream.receivers) receiver->awake.notify();
+}
+
+// Guards against a collector that stops, and one that is slower than what there is to tell: memory is bounded,
+// the oldest goes, and the collector is told afterwards what it missed. It hurts where a collector is away for
+// longer than the queue lasts and there is no spool.
+void Exporter::keep_bound(Stream& stream) {
+  MessageNumber needed = stream.sendable();
+  for (const auto& receiver : stream.receivers) needed = std::min(needed, receiver->floor());
+  stream.backlog.release(needed);
+  stream.not_kept.erase(stream.not_kept.begin(), stream.not_kept.lower_bound(stream.backlog.first()));
+  stream.backlog.keep_bound([&](MessageNumber number, const ipfix::Message& message) {
+    if (stream.spooled && number < stream.on_disk && !stream.not_kept.contains(number)) return;
+    account_dropped(stream, number, message.flows, message.packets, message.octets);
+    stream.to_disk = std::max(stream.to_disk, number + 1);
+    stream.on_disk = std::max(stream.on_disk, number + 1);
+  });
+}
+
+void Exporter::account_dropped(Stream& stream, MessageNumber number, std::uint32_t flows, std::uint64_t packets,
+                               std::uint64_t octets) {
+  for (const auto& receiver : stream.receivers) {
+    if (number < receiver->cursor || (receiver->sending && number == receiver->cursor)) continue;
+    count_not_sent(*receiver, flows, packets, octets);
+  }
+}
+
+void Exporter::count_not_sent(Receiver& receiver, std::uint32_t flows, std::uint64_t packets,
+                              std::uint64_t octets) {
+  ++counters_.flow_messages_dropped;
+  counters_.flow_records_dropped += flows;
+  receiver.not_sent.flows += flows;
+  receiver.not_sent.packets += packets;
+  receiver.not_sent.octets += octets;
+}
+
+void Exporter::tell_figures() {
+  const Seconds at = now();
+  for (const auto& stream : streams_) {
+    if (stream->receivers.empty()) continue;
+    names_.each([&](ipfix::NameKind kind, NameNumber number, const std::string& name) {
+      stream->encoder.name(at, kind, number, name);
+    });
+    stream->encoder.exporter(at, stream->messages, stream->flows, stream->octets);
+    stream->encoder.element_types(at);
+  }
+}
+
+void Exporter::flush() {
+  const Seconds at = now();
+  for (const auto& stream : streams_) {
+    if (stream->receivers.empty()) continue;
+    for (const auto& receiver : stream->receivers) {
+      if (receiver->not_sent == receiver->not_sent_told) continue;
+      receiver->not_sent_told = receiver->not_sent;
+      stream->encoder.not_sent(at, endpoint_of(receiver->collectors.front().address), receiver->not_sent);
+    }
+    // Every packet of NetFlow v9 has a number of its own, so its templates stand in the stream.
+    const bool due = stream->messages == 0 || at >= stream->templates_at + settings_.template_resend ||
+                     stream->since_templates >= settings_.template_resend_messages;
+    if (stream->protocol == Protocol::kNetflow9 && due) {
+      stream->encoder.flush(at);
+      stream->encoder.templates(at);
+      stream->templates_at = at, stream->since_templates = 0;
+    }
+    stream->encoder.flush(at);
+  }
+}
+
+Task<> Exporter::live(Exporter& self) {
+  if (self.streams_[1]->receivers.size() > 0) self.flush();  // NetFlow's templates come first
+  while (!self.finished_) {
+    const Seconds at = self.now();
+    const std::uint64_t evicted = self.table_.evicted();
+    if (self.table_.expire(at, self.limits_.flows_a_turn)) {
+      co_await self.scheduler_.sleep_until(Scheduler::now());  // the others' turn
+      continue;
+    }
+    self.counters_.flows = self.table_.flows();
+    self.counters_.flows_evicted = evicted;
+    if (self.figures_due_ || at >= self.figures_at_ + self.settings_.template_resend) {
+      self.figures_due_ = false;
+      self.figures_at_ = at;
+      self.names_.forget(at);
+      self.tell_figures();
+    }
+    self.flush();
+    self.look_after_spool();
+    for (const auto& stream : self.streams_) {
+      if (stream->spooled) self.spool_what_waits(*stream);
+      self.keep_bound(*stream);
+      for (const auto& receiver : stream->receivers) receiver->awake.notify();
+    }
+    co_await self.scheduler_.sleep_until(Scheduler::now() + self.limits_.flow_tick);
+  }
+}
+
+Task<> Exporter::finish(Seconds until) {
+  while (table_.end_some(now(), EndReason::kForced, limits_.flows_a_turn))
+    co_await scheduler_.sleep_until(Scheduler::now());
+  finished_ = true;
+  tell_figures();
+  flush();
+  const auto all_out = [&] {
+    if (worker_ && worker_->waiting() > 0) return false;
+    return std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) {
+      if (stream->spooled && stream->to_disk < stream->backlog.end()) return false;
+      return std::all_of(stream->receivers.begin(), stream->receivers.end(), [&](const auto& receiver) {
+        if (receiver->session && receiver->session->stream.open()) receiver->session->forget_acknowledged();
+        return receiver->floor() + 1 >= stream->backlog.end() && receiver->cursor >= stream->backlog.end();
+      });
+    });
+  };
+  while (!all_out() && Scheduler::now() < until) {
+    for (const auto& stream : streams_) {
+      if (stream->spooled) spool_what_waits(*stream);
+      for (const auto& receiver : stream->receivers) receiver->awake.notify();
+    }
+    co_await scheduler_.sleep_until(Scheduler::now() + 0.002);
+  }
+  spool_at_ = 0;
+  look_after_spool();
+  while (worker_ && worker_->waiting() > 0 && Scheduler::now() < until)
+    co_await scheduler_.sleep_until(Scheduler::now() + 0.002);
+  for (const auto& stream : streams_) {
+    for (const auto& receiver : stream->receivers) {
+      receiver->stopped = true;
+      if (receiver->session) receiver->session->stream.finish();
+    }
+  }
+  log_.event(LogLevel::kInfo, "flow_export_ended",
+             fmt::format("flow export: ended with {} records told, {} in messages dropped", counters_.flow_records,
+                         counters_.flow_records_dropped),
+             {{"records", counters_.flow_records}, {"dropped", counters_.flow_records_dropped}});
+}
+
+// --- the disk ---
+
+void Exporter::spool_what_waits(Stream& stream) {
+  if (worker_->waiting() > 1) return;  // the next batch takes what comes meanwhile: one commit for many
+  const MessageNumber from = std::max(stream.to_disk, stream.backlog.first()), to = stream.backlog.end();
+  if (from >= to) return;
+  struct Batch {
+    std::vector<storage::SpoolEntry> entries;
+    storage::Dropped dropped;
+    std::string error;
+    bool kept = false;
+  };
+  const auto batch = std::make_shared<Batch>();
+  for (MessageNumber number = from; number < to; ++number) {
+    const MessagePointer message = stream.backlog.at(number);
+    batch->entries.push_back({number, now(), message->flows, message->packets, message->octets,
+                              message->next_sequence, message->bytes});
+  }
+  const auto job = [spool = spool_.get(), batch] {
+    batch->kept = spool->append(batch->entries, batch->dropped, batch->error);
+  };
+  const auto done = [this, &stream, batch, from, to] {
+    if (batch->kept) {
+      counters_.spool_written += to - from;
+      if (std::exchange(spool_ill_, false)) log_.info("spool_well", "flow export: the disk takes messages again");
+    } else {
+      counters_.spool_failed += to - from;
+      for (MessageNumber number = from; number < to; ++number) stream.not_kept.insert(number);
+      if (!std::exchange(spool_ill_, true))
+        log_.warning("spool_failed", "flow export: the disk does not take messages: {}; they wait in memory",
+                     batch->error);
+    }
+    for (const storage::SpoolEntry& entry : batch->dropped)
+      if (!stream.backlog.at(entry.number))
+        account_dropped(stream, entry.number, entry.flows, entry.packets, entry.octets);
+    stream.on_disk = std::max(stream.on_disk, to);
+    keep_bound(stream);
+    for (const auto& receiver : stream.receivers) receiver->awake.notify();
+  };
+  if (worker_->post(job, done)) stream.to_disk = to;
+}
+
+// Cursors go to the disk, and what nobody needs any more, or is too old, goes from it.
+void Exporter::look_after_spool() {
+  if (!spool_ || now() < spool_at_ + limits_.flow_trim) return;
+  spool_at_ = now();
+  Stream& stream = *streams_[0];
+  MessageNumber needed = stream.sendable();
+  std::map<std::string, std::uint64_t> cursors;
+  for (const auto& receiver : stream.receivers) {
+    needed = std::min(needed, receiver->floor());
+    cursors[receiver->name] = receiver->floor();
+  }
+  struct Work {
+    std::map<std::string, std::uint64_t> changed;
+    storage::Dropped dropped;
+    std::string error;
+  };
+  const auto work = std::make_shared<Work>();
+  for (const auto& [reader, next] : cursors)
+    if (const auto stored = stored_cursors_.find(reader); stored == stored_cursors_.end() || stored->second != next)
+      work->changed[reader] = next;
+  const Seconds oldest = now() - settings_.spool.age;
+  const auto job = [spool = spool_.get(), work, needed, oldest] {
+    for (const auto& [reader, next] : work->changed) spool->put_cursor(reader, next, work->error);
+    spool->trim(needed, oldest, work->dropped, work->error);
+  };
+  const auto done = [this, &stream, work] {
+    for (const storage::SpoolEntry& entry : work->dropped)
+      if (!stream.backlog.at(entry.number))
+        account_dropped(stream, entry.number, entry.flows, entry.packets, entry.octets);
+  };
+  if (worker_->post(job, done))
+    for (const auto& [reader, next] : work->changed) stored_cursors_[reader] = next;
+}
+
+// The next message for a receiver, from memory or from the disk; null if there is none now.
+Task<MessagePointer> Exporter::fetch(Stream& stream, Receiver& receiver) {
+  if (receiver.cursor >= stream.sendable()) co_return nullptr;
+  if (MessagePointer here = stream.backlog.at(receiver.cursor)) {
+    receiver.from_disk.clear();
+    co_return here;
+  }
+  if (!stream.spooled) {  // it was dropped, and that is told of
+    receiver.cursor = std::max(receiver.cursor, stream.backlog.first());
+    co_return stream.backlog.at(receiver.cursor);
+  }
+  while (!receiver.from_disk.empty() && receiver.from_disk.front().number < receiver.cursor)
+    receiver.from_disk.pop_front();
+  if (receiver.from_disk.empty()) {
+    struct Work {
+      std::vector<storage::SpoolEntry> entries;
+      std::string error;
+      bool done = false;
+    };
+    const auto work = std::make_shared<Work>();
+    const auto job = [spool = spool_.get(), work, from = receiver.cursor, bytes = limits_.spool_read] {
+      work->entries = spool->read(from, bytes, work->error);
+    };
+    const auto done = [work, &receiver] {
+      work->done = true;
+      receiver.from_disk_ready.notify();
+    };
+    if (!worker_->post(job, done)) co_return nullptr;
+    while (!work->done) co_await receiver.from_disk_ready.wait();
+    counters_.spool_read += work->entries.size();
+    receiver.from_disk.assign(std::make_move_iterator(work->entries.begin()),
+                              std::make_move_iterator(work->entries.end()));
+  }
+  if (receiver.from_disk.empty()) {  // gone from the disk too, by its age or bound
+    receiver.cursor = std::max(receiver.cursor, std::min(stream.backlog.first(), stream.sendable()));
+    co_return stream.backlog.at(receiver.cursor);
+  }
+  storage::SpoolEntry& entry = receiver.from_disk.front();
+  receiver.cursor = std::max(receiver.cursor, entry.number);
+  ipfix::Message message;
+  message.bytes = std::move(entry.bytes);
+  message.flows = entry.flows;
+  message.packets = entry.packets;
+  message.octets = entry.octets;
+  receiver.from_disk.pop_front();
+  co_return std::make_shared<const ipfix::Message>(std::move(message));
+}
+
+// --- the collectors ---
+
+Task<> Exporter::serve(Exporter& self, Stream& stream, ReceiverPointer receiver) {
+  while (!receiver->stopped) {
+    const auto choice = receiver->delivery.choose(self.now());
+    if (choice) {
+      if (!co_await self.reach(*receiver, *choice)) {
+        ++self.counters_.collectors_failed;
+        receiver->delivery.failed(self.now(), *choice);
+      }
+      continue;
+    }
+    if (!receiver->session) {
+      co_await self.scheduler_.sleep_until(
+          std::min(Scheduler::now() + kPoll, self.clock_.to_scheduler(receiver->delivery.next_try())));
+      continue;
+    }
+    if (!co_await self.send_next(stream, *receiver) && receiver->session && !receiver->stopped)
+      co_await receiver->awake.wait();
+  }
+  receiver->session.reset();
+}
+
+Task<bool> Exporter::reach(Receiver& receiver, std::size_t place) {
+  const CollectorSettings& collector = receiver.collectors[place];
+  auto session = std::make_unique<Session>();
+  if (collector.transport == Transport::kUdp) {
+    try {
+      session->datagrams = transport::Datagrams::to(scheduler_, collector.address);
+    } catch (const std::system_error&) {
+      co_return false;
+    }
+  } else {
+    auto connected =
+        co_await transport::connect(scheduler_, collector.address, Scheduler::now() + limits_.flow_connect);
+    if (connected.end != transport::ConnectEnd::kUp) co_return false;
+    session->stream = std::move(connected.socket);
+  }
+  if (receiver.session && !receiver.session->unacknowledged.empty())
+    receiver.cursor = std::min(receiver.cursor, receiver.session->unacknowledged.front().number);
+  receiver.session = std::move(session);
+  receiver.sent_any = false;
+  receiver.delivery.came_up(now(), place);
+  ++counters_.collectors_up;
+  figures_due_ = true;  // it may be new, and know no names
+  log_.info("collector_up", "flow export: {} is there", name_of({collector}));
+  co_return true;
+}
+
+// What may not have come is sent again, where it is still held; the rest is lost and counted.
+void Exporter::lost(Stream& stream, Receiver& receiver, const std::string& why) {
+  ++counters_.collectors_failed;
+  const MessageNumber from = receiver.floor();
+  receiver.sending = false;
+  if (receiver.session && !stream.spooled)
+    for (const Session::Sent& sent : receiver.session->unacknowledged)
+      if (sent.number < stream.backlog.first()) count_not_sent(receiver, sent.flows, sent.packets, sent.octets);
+  if (receiver.session) receiver.session->stream.abort();
+  receiver.session.reset();
+  receiver.from_disk.clear();
+  if (from < receiver.cursor) receiver.cursor = stream.spooled ? from : std::max(from, stream.backlog.first());
+  if (const auto current = receiver.delivery.current()) {
+    log_.warning("collector_lost", "flow export: {}: {}; {} messages wait",
+                 name_of({receiver.collectors[*current]}), why, stream.backlog.end() - receiver.cursor);
+    receiver.delivery.failed(now(), *current);
+  }
+}
+
+// True: something went, or failed, and there may be more to do at once.
+Task<bool> Exporter::send_next(Stream& stream, Receiver& receiver) {
+  Session& session = *receiver.session;
+  const bool datagrams = session.datagrams.has_value();
+  if (!datagrams) {
+    session.forget_acknowledged();
+    if (session.stream.ended()) {
+      lost(stream, receiver, "it has closed");
+      co_return true;
+    }
+  }
+  const auto behind = [&] { return stream.sendable() - std::min(receiver.cursor, stream.sendable()); };
+  const Seconds wait = receiver.delivery.may_send_at(behind()) - now();
+  if (wait > 0) {
+    co_await scheduler_.sleep_until(Scheduler::now() + wait);
+    co_return !receiver.stopped;
+  }
+  const MessagePointer message = co_await fetch(stream, receiver);
+  if (!message || receiver.stopped) co_return false;
+  const bool due = datagrams ? receiver.delivery.templates_due(now()) : session.written == 0;
+  std::string templates;
+  if (due && stream.protocol == Protocol::kIpfix)
+    templates = stream.encoder.session_templates(now(), ipfix::Encoder::sequence_of(message->bytes));
+  if (datagrams) {
+    using Sent = transport::Datagrams::Sent;
+    Sent sent = templates.empty() ? Sent::kSent : session.datagrams->send_now(templates);
+    if (due && sent == Sent::kSent) receiver.delivery.templates_sent(now());
+    if (sent == Sent::kSent) sent = session.datagrams->send_now(message->bytes);
+    if (sent == Sent::kFull) {
+      ++counters_.collectors_full;
+      co_return false;  // at the next tick
+    }
+    if (sent == Sent::kTooLong) {  // no other message of this size would go either
+      count_not_sent(receiver, message->flows, message->packets, message->octets);
+      ++receiver.cursor;
+      co_return true;
+    }
+    if (sent != Sent::kSent) {
+      lost(stream, receiver, sent == Sent::kRefused ? "nobody listens there" : "it can't be sent to");
+      co_return true;
+    }
+  } else {
+    receiver.sending = true;
+    const std::string bytes = templates + message->bytes;
+    const transport::Io io = co_await session.stream.write(bytes, Scheduler::now() + limits_.flow_stall);
+    receiver.sending = false;
+    session.written += io.bytes;
+    if (!io.ok()) {
+      lost(stream, receiver, io.end == transport::IoEnd::kTimedOut ? "it takes nothing more" : "it has closed");
+      if (!stream.spooled && receiver.cursor < stream.backlog.first()) {
+        count_not_sent(receiver, message->flows, message->packets, message->octets);
+        receiver.cursor = stream.backlog.first();
+      }
+      co_return true;
+    }
+    session.unacknowledged.push_back(
+        {session.written, receiver.cursor, message->flows, message->packets, message->octets});
+  }
+  ++counters_.flow_messages_sent;
+  ++receiver.cursor;
+  receiver.sent_any = true;
+  receiver.delivery.message_sent(now(), behind());
+  co_return true;
+}
+
+}  // namespace hareramp::flow
--- /dev/null
+++ b/src/flow/settings.hpp
@@ -0,0 +1,49 @@
+// What the operator has set for flow export: filled by program/operator.cpp from the operator's file, with
+// its defaults. Times in seconds, sizes in bytes.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/networks.hpp"
+#include "transport/socket.hpp"
+
+namespace hareramp::flow {
+
+enum class Protocol : std::uint8_t { kIpfix, kNetflow9 };
+enum class Transport : std::uint8_t { kUdp, kTcp };
+enum class Mode : std::uint8_t { kDuplicate, kFailover };
+
+struct CollectorSettings {
+  transport::Address address;
+  Transport transport = Transport::kUdp;
+  Protocol protocol = Protocol::kIpfix;
+  Mode mode = Mode::kDuplicate;
+  bool operator==(const CollectorSettings&) const = default;
+};
+
+struct SpoolSettings {
+  bool enabled = false;
+  std::string directory;
+  std::size_t bytes = 0;
+  double age = 0, replay_per_s = 0;
+  bool operator==(const SpoolSettings&) const = default;
+};
+
+struct ExportSettings {
+  bool enabled = false;
+  // taken at the start only
+  std::uint32_t observation_domain = 1, enterprise_number = 0;
+  std::size_t flows_most = 0, message_bytes = 0, queue_bytes = 0;
+  SpoolSettings spool;
+  // taken by a reload too
+  double active_timeout = 0, idle_timeout = 0, template_resend = 0;
+  std::size_t template_resend_messages = 0;
+  std::vector<CollectorSettings> collectors;
+  std::shared_ptr<const Networks> networks;  // never null
+};
+
+}  // namespace hareramp::flow
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -3,11 +3,13 @@
 #include <fmt/format.h>
 
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <exception>
 #include <sstream>
 #include <string>
 #include <vector>
 
+#include "program/operator.hpp"
 #include "program/serve.hpp"
 
 namespace hareramp::program {
@@ -16,21 +18,42 @@
 
 namespace {
 
+constexpr std::size_t kUsualMemory = 192 << 20;  // bytes; where no configuration says how much there is
+
+struct Paths {
+  std::string config, operator_file;
+};
+
 struct Command {
   const char* name;
   const char* what;
   const char* more;
   bool configured;
-  int (*run)(const std::string& config, std::FILE* out, std::FILE* err);
+  int (*run)(const Paths& paths, std::FILE* out, std::FILE* err);
 };
 
-int run_serve(const std::string& path, std::FILE*, std::FILE* err) {
+int run_serve(const Paths& paths, std::FILE*, std::FILE* err) {
   Log log(fileno(err));
-  return serve(load_config(path), path, log);
+  return serve(load_config(paths.config), paths.config, paths.operator_file, log);
+}
+
+void print_operator(const OperatorFile& file, std::FILE* out) {
+  const flow::ExportSettings& flows = file.flow_export;
+  if (!flows.enabled) return fmt::print(out, "operator's file: flow export is off\n");
+  fmt::print(out, "operator's file: flow export to {} collectors, {} flows at most, {} networks, spool {}\n",
+             flows.collectors.size(), flows.flows_most, flows.networks->size(),
+             flows.spool.enabled ? flows.spool.directory : "off");
 }
 
-int run_check(const std::string& path, std::FILE* out, std::FILE*) {
-  const Config config = load_config(path);
+// The operator's file may be looked at alone, without a platform's configuration.
+int run_check(const Paths& paths, std::FILE* out, std::FILE*) {
+  const bool alone = paths.config.empty() && !std::getenv("EDGE_CONFIG") && !paths.operator_file.empty();
+  if (alone) {
+    print_operator(load_operator(paths.operator_file, kUsualMemory), out);
+    return 0;
+  }
+  const Config config = load_config(paths.config);
+  const OperatorFile operator_file = load_operator(paths.operator_file, config.memory);
   fmt::print(out, "{}: would listen at {}, follow the change log at {} after event {}\n", config.name,
              config.listen.text(), config.change_log.text(), config.known_to);
   const auto list = [&](const char* what, const std::vector<std::string>& names) {
@@ -41,10 +64,16 @@
   list("kinds", config.names.kinds);
   fmt::print(out, "limits: {} clients, {} connections to nodes, {} MB of answers not yet taken\n",
              config.limits.clients, config.limits.links, config.limits.waiting_answers >> 20);
+  if (!paths.operator_file.empty() || std::getenv("HARERAMP_OPERATOR")) print_operator(operator_file, out);
+  return 0;
+}
+
+int run_schema(const Paths&, std::FILE* out, std::FILE*) {
+  fmt::print(out, "{}", kOperatorSchema);
   return 0;
 }
 
-int run_version(const std::string&, std::FILE* out, std::FILE*) {
+int run_version(const Paths&, std::FILE* out, std::FILE*) {
   fmt::print(out, "hareramp {}\n", HARERAMP_VERSION);
   return 0;
 }
@@ -52,10 +81,12 @@
 const Command kCommands[] = {
     {"serve", "serve pulls until SIGTERM",
      "Answers GET /_health with 200 once it serves. SIGUSR1 prints the counters, SIGHUP reads the\n"
-     "configuration again and takes its changelog, SIGTERM or SIGINT ends it: new work is taken for a moment\n"
+     "configuration and the operator's file again and takes what they allow, SIGTERM or SIGINT ends it: new work is taken for a moment\n"
      "longer, all that was taken is answered, and it exits with 0.\n",
      true, run_serve},
-    {"check", "read a configuration and say what would be served", "", true, run_check},
+    {"check", "read a configuration and say what would be served",
+     "With --operator alone it looks at the operator's file alone.\n", true, run_check},
+    {"schema", "print the JSON Schema of the operator's file", "", false, run_schema},
     {"version", "print the version", "", false, run_version},
 };
 
@@ -71,7 +102,9 @@
   if (command.configured)
     known.add_options()("config", options::value<std::string>()->value_name("FILE"),
                         "the configuration; without it the one that EDGE_CONFIG names. EDGE_NAME and "
-                        "EDGE_LISTEN go before what it says of name and address");
+                        "EDGE_LISTEN go before what it says of name and address")(
+        "operator", options::value<std::string>()->value_name("FILE"),
+        "the operator's own file; without it the one that HARERAMP_OPERATOR names, if any");
   options::variables_map given;
   try {
     // A mistyped word must not be taken for an option's value, nor pass unseen.
@@ -92,7 +125,8 @@
     return 0;
   }
   try {
-    return command.run(given.count("config") ? given["config"].as<std::string>() : "", out, err);
+    const auto text = [&](const char* name) { return given.count(name) ? given[name].as<std::string>() : ""; };
+    return command.run({text("config"), text("operator")}, out, err);
   } catch (const std::exception& error) {
     fmt::print(err, "hareramp {}: {}\n", command.name, error.what());
     return 1;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -1,5 +1,6 @@
 #include "program/config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -16,7 +17,7 @@
 }
 transport::Address address(const std::string& text, const std::string& what) {
   const auto parsed = transport::Address::parse(text);
-  if (!parsed) throw BadConfig(what + " is not an IPv4 address with a port: '" + text + "'");
+  if (!parsed) throw BadConfig(what + " is not an address with a port: '" + text + "'");
   return *parsed;
 }
 std::vector<std::string> texts(const protocol::Json& list, const char* member = nullptr) {
@@ -50,6 +51,7 @@
   for (const std::string& writes : texts(settings["FamilyInfo"]["GoesThrough"]))
     config.names.writes.push_back(writes == "true");
   if (config.names.grades.empty()) throw BadConfig("the settings name no RequestClasses");
+  config.memory = static_cast<std::size_t>(std::clamp((*json)["limits"]["memory_mb"].number(192), 1.0, 1e6)) << 20;
   config.limits = fill_limits((*json)["limits"], settings);
   return config;
 }
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "limits.hpp"
+#include "base/limits.hpp"
 #include "policy.hpp"
 #include "protocol/json.hpp"
 #include "routing/module.hpp"
@@ -28,6 +28,7 @@
   Settings settings;
   routing::Names names;
   Limits limits;
+  std::size_t memory = 0;  // bytes that the platform gives
 };
 
 // The text of a configuration; what the environment says of name and address goes before the file.
--- /dev/null
+++ b/src/program/operator.cpp
@@ -0,0 +1,220 @@
+#include "program/operator.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include "program/config.hpp"
+
+namespace hareramp::program {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kLargestFile = 16 << 20;  // bytes; 65,536 networks take 5 MB
+constexpr std::size_t kFlowBytes = 256;         // of one flow in the table, with what leads to it
+
+std::string shown(const json& value) {
+  std::string text = value.is_object() ? "an object" : value.is_array() ? "a list" : value.dump();
+  if (text.size() > 80) text = text.substr(0, 77) + "...";
+  return text;
+}
+
+// What a part of the schema asks for, in words.
+std::string wanted(const json& schema) {
+  if (schema.contains("enum")) {
+    std::string words = "one of";
+    for (const json& one : schema["enum"]) words += (words == "one of" ? " " : ", ") + one.dump();
+    return words;
+  }
+  const std::string type = schema.value("type", "a value");
+  std::string words = type == "integer"   ? "a whole number"
+                      : type == "number"  ? "a number"
+                      : type == "boolean" ? "true or false"
+                      : type == "string"  ? "a text"
+                      : type == "array"   ? "a list"
+                      : type == "object"  ? "an object"
+                                          : type;
+  if (schema.contains("minimum")) words += " from " + schema["minimum"].dump();
+  if (schema.contains("maximum")) words += " to " + schema["maximum"].dump();
+  if (schema.contains("minLength")) words += " of at least " + schema["minLength"].dump() + " characters";
+  if (schema.contains("maxLength")) words += " of at most " + schema["maxLength"].dump() + " characters";
+  if (schema.contains("maxItems")) words += " of at most " + schema["maxItems"].dump() + " entries";
+  if (schema.contains("pattern") && schema.contains("description"))
+    words += ": " + schema["description"].get<std::string>();
+  return words;
+}
+
+// valijson names a place as <root>["a"][0]; here it becomes /a/0, RFC 6901.
+std::string pointer_of(const std::vector<std::string>& context) {
+  std::string pointer;
+  for (std::string part : context) {
+    if (part == "<root>") continue;
+    if (part.size() >= 2 && part.front() == '[' && part.back() == ']') part = part.substr(1, part.size() - 2);
+    if (part.size() >= 2 && part.front() == '"' && part.back() == '"') part = part.substr(1, part.size() - 2);
+    std::string escaped;
+    for (const char c : part) escaped += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
+    pointer += "/" + escaped;
+  }
+  return pointer;
+}
+
+[[noreturn]] void refuse(const std::string& file, const std::string& pointer, const std::string& there,
+                         const std::string& asked) {
+  throw BadConfig(fmt::format("{}: at {}: found {}; wanted {}", file, pointer.empty() ? "/" : pointer,
+                              there, asked));
+}
+
+// The first thing that is wrong, from the outermost error's innermost place.
+[[noreturn]] void tell(const json& schema, const json& document, const std::string& file,
+                       valijson::ValidationResults& results) {
+  valijson::ValidationResults::Error error, deepest;
+  while (results.popError(error))
+    if (error.context.size() > deepest.context.size() ||
+        (error.context.size() == deepest.context.size() && deepest.description.empty()))
+      deepest = error;
+  const std::string pointer = pointer_of(deepest.context);
+  const json& value = document.at(json::json_pointer(pointer));
+  const json* part = &schema;
+  std::istringstream steps(pointer);
+  for (std::string step; std::getline(steps, step, '/');) {
+    if (step.empty()) continue;
+    if (part->contains("items") && step.find_first_not_of("0123456789") == std::string::npos)
+      part = &(*part)["items"];
+    else if (part->contains("properties") && (*part)["properties"].contains(step))
+      part = &(*part)["properties"][step];
+  }
+  if (value.is_object() && part->contains("properties")) {
+    for (const auto& [key, member] : value.items())
+      if (!(*part)["properties"].contains(key)) {
+        std::string known;
+        for (const auto& [name, ignored] : (*part)["properties"].items())
+          known += (known.empty() ? "" : ", ") + name;
+        refuse(file, pointer + "/" + key, "an unknown key", "one of " + known);
+      }
+    if (part->contains("required"))
+      for (const json& name : (*part)["required"])
+        if (!value.contains(name.get<std::string>()))
+          refuse(file, pointer + "/" + name.get<std::string>(), "nothing",
+                 wanted((*part)["properties"][name.get<std::string>()]));
+  }
+  refuse(file, pointer, shown(value), wanted(*part));
+}
+
+void validate(const json& document, const std::string& file) {
+  const json schema_json = json::parse(kOperatorSchema);
+  valijson::Schema schema;
+  valijson::SchemaParser parser;
+  valijson::adapters::NlohmannJsonAdapter schema_adapter(schema_json), document_adapter(document);
+  parser.populateSchema(schema_adapter, schema);
+  valijson::Validator validator(valijson::Validator::kStrongTypes);
+  valijson::ValidationResults results;
+  if (!validator.validate(schema, document_adapter, &results)) tell(schema_json, document, file, results);
+}
+
+template <class Value>
+Value or_else(const json& object, const char* key, Value fallback) {
+  return object.contains(key) ? object[key].get<Value>() : fallback;
+}
+
+flow::CollectorSettings read_collector(const json& one, const std::string& file, const std::string& pointer) {
+  flow::CollectorSettings collector;
+  const auto address = transport::Address::parse(one["address"].get<std::string>());
+  if (!address) refuse(file, pointer + "/address", shown(one["address"]), "an address with a port");
+  collector.address = *address;
+  if (or_else<std::string>(one, "transport", "udp") == "tcp") collector.transport = flow::Transport::kTcp;
+  if (or_else<std::string>(one, "protocol", "ipfix") == "netflow9")
+    collector.protocol = flow::Protocol::kNetflow9;
+  if (or_else<std::string>(one, "mode", "duplicate") == "failover") collector.mode = flow::Mode::kFailover;
+  if (collector.protocol == flow::Protocol::kNetflow9 && collector.transport == flow::Transport::kTcp)
+    refuse(file, pointer + "/transport", "\"tcp\" with \"netflow9\"", "\"udp\" (RFC 3954 knows no TCP)");
+  return collector;
+}
+
+void read_flow_export(const json& object, const std::string& file, std::size_t memory,
+                      flow::ExportSettings& out) {
+  const json empty = json::object();
+  out.enabled = or_else(object, "enabled", false);
+  out.observation_domain = or_else<std::uint32_t>(object, "observation_domain", 1);
+  out.enterprise_number = or_else<std::uint32_t>(object, "enterprise_number", 32473);
+  out.active_timeout = or_else(object, "active_timeout_s", 60.0);
+  out.idle_timeout = or_else(object, "idle_timeout_s", 15.0);
+  out.flows_most = or_else<std::size_t>(object, "flows_most", std::max<std::size_t>(16, memory / 16 / kFlowBytes));
+  out.message_bytes = or_else<std::size_t>(object, "message_bytes", 1400);
+  out.template_resend = or_else(object, "template_resend_s", 60.0);
+  out.template_resend_messages = or_else<std::size_t>(object, "template_resend_messages", 1000);
+  out.queue_bytes = or_else<std::size_t>(object, "queue_kb", 4096) * 1024;
+  const json& collectors = object.contains("collectors") ? object["collectors"] : empty;
+  for (std::size_t i = 0; i < collectors.size(); ++i) {
+    const std::string pointer = fmt::format("/flow_export/collectors/{}", i);
+    const auto collector = read_collector(collectors[i], file, pointer);
+    for (const auto& other : out.collectors)
+      if (other.address == collector.address && other.transport == collector.transport)
+        refuse(file, pointer, shown(collectors[i]["address"]) + " for the second time", "each collector once");
+    out.collectors.push_back(collector);
+  }
+  const auto networks = std::make_shared<Networks>();
+  const json& listed = object.contains("networks") ? object["networks"] : empty;
+  for (std::size_t i = 0; i < listed.size(); ++i)
+    if (const auto wrong = networks->add(listed[i]["prefix"].get<std::string>(),
+                                         listed[i]["depot"].get<std::string>()))
+      refuse(file, fmt::format("/flow_export/networks/{}/prefix", i), *wrong, "each network once, in CIDR form");
+  out.networks = networks;
+  const json& spool = object.contains("spool") ? object["spool"] : empty;
+  out.spool.enabled = or_else(spool, "enabled", false);
+  out.spool.directory = or_else<std::string>(spool, "directory", "");
+  out.spool.bytes = or_else<std::size_t>(spool, "size_mb", 256) << 20;
+  out.spool.age = or_else(spool, "age_s", 86400.0);
+  out.spool.replay_per_s = or_else(spool, "replay_per_s", 2000.0);
+  if (out.enabled && out.collectors.empty())
+    refuse(file, "/flow_export/collectors", "no collector", "at least one where flow_export is enabled");
+}
+
+}  // namespace
+
+OperatorFile read_operator(const std::string& text, const std::string& file, std::size_t memory) {
+  json document;
+  try {
+    document = json::parse(text);
+  } catch (const json::parse_error& error) {
+    throw BadConfig(fmt::format("{}: not JSON: {}", file, error.what()));
+  }
+  validate(document, file);
+  OperatorFile out;
+  const json empty = json::object();
+  const json& log = document.contains("log") ? document["log"] : empty;
+  if (or_else<std::string>(log, "format", "text") == "json") out.log_form = LogForm::kJson;
+  const std::string level = or_else<std::string>(log, "level", "info");
+  out.log_level = level == "debug"     ? LogLevel::kDebug
+                  : level == "warning" ? LogLevel::kWarning
+                  : level == "error"   ? LogLevel::kError
+                                       : LogLevel::kInfo;
+  read_flow_export(document.contains("flow_export") ? document["flow_export"] : empty, file, memory,
+                   out.flow_export);
+  return out;
+}
+
+OperatorFile load_operator(const std::string& path, std::size_t memory) {
+  const char* variable = std::getenv("HARERAMP_OPERATOR");
+  const std::string from = !path.empty() ? path : variable ? variable : "";
+  if (from.empty()) return {};
+  std::ifstream file(from, std::ios::binary);
+  if (!file) throw BadConfig("can't read the operator's file '" + from + "'");
+  std::string text(kLargestFile + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  if (text.size() > kLargestFile) throw BadConfig(from + ": over 16 MB");
+  return read_operator(text, from, memory);
+}
+
+}  // namespace hareramp::program
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -3,8 +3,11 @@
 #include <signal.h>
 
 #include <exception>
+#include <memory>
 #include <string>
 
+#include "flow/exporter.hpp"
+#include "program/operator.hpp"
 #include "routing/change_log.hpp"
 #include "routing/front.hpp"
 #include "routing/module.hpp"
@@ -20,47 +23,66 @@
 
 class Service {
  public:
-  Service(const Config& config, const std::string& path, Log& log)
+  Service(const Config& config, const std::string& path, const OperatorFile& operator_file,
+          const std::string& operator_path, Log& log)
       : config_(config),
         path_(path),
+        operator_path_(operator_path),
         log_(log),
         signals_(scheduler_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}),
-        module_(scheduler_, config.limits, counters_, log, config.names, config.settings, config.seed),
+        flows_(operator_file.flow_export.enabled
+                   ? std::make_unique<flow::Exporter>(scheduler_, config.limits, counters_, log,
+                                                      operator_file.flow_export, config.seed)
+                   : nullptr),
+        module_(scheduler_, config.limits, counters_, log, config.names, config.settings, config.seed,
+                flows_.get()),
         change_log_(scheduler_, config.limits, counters_, log, config.change_log, config.change_log_host,
                     config.known_to, module_),
-        front_(scheduler_, config.limits, counters_, config.listen, config.names, module_) {
+        front_(scheduler_, config.limits, counters_, config.listen, config.names, module_, flows_.get()) {
     scheduler_.on_failure = [this](std::exception_ptr failure) {
       ++counters_.failures;
       try {
         std::rethrow_exception(failure);
       } catch (const std::exception& error) {
-        log_.line("a task failed: {}", error.what());
+        log_.warning("task_failed", "a task failed: {}", error.what());
       } catch (...) {
-        log_.line("a task failed");
+        log_.warning("task_failed", "a task failed");
       }
     };
   }
 
+  // Connections are counted to their end, so they go before what counts them.
+  ~Service() { scheduler_.clear(); }
+
   void run() {
+    if (flows_) flows_->start();
     module_.start();
     change_log_.start(config_.known);
     front_.start();
     scheduler_.spawn(heed_signals());
-    log_.line("{}: serving, with {} clients at most", config_.name, config_.limits.clients);
+    log_.event(LogLevel::kInfo, "serving",
+               fmt::format("{}: serving, with {} clients at most", config_.name, config_.limits.clients),
+               {{"name", config_.name}, {"clients_most", std::uint64_t{config_.limits.clients}}});
     scheduler_.run();
-    log_.line("{}: {}", config_.name, counters_line(counters_));
+    log_counters();
   }
 
  private:
+  void log_counters() {
+    log_.event(LogLevel::kInfo, "counters", fmt::format("{}: {}", config_.name, counters_line(counters_)));
+  }
+
   Task<> heed_signals() {
     bool leaving = false;
     for (;;) {
       const int signal = co_await signals_.next();
       if (signal == SIGHUP) reload();
-      if (signal == SIGUSR1) log_.line("{}: {}", config_.name, counters_line(counters_));
+      if (signal == SIGUSR1) log_counters();
       if ((signal != SIGTERM && signal != SIGINT) || leaving) continue;
       leaving = true;
-      log_.line("{}: leaving, {} pulls open", config_.name, module_.open_pulls());
+      log_.event(LogLevel::kInfo, "leaving",
+                 fmt::format("{}: leaving, {} pulls open", config_.name, module_.open_pulls()),
+                 {{"name", config_.name}, {"open", std::uint64_t{module_.open_pulls()}}});
       scheduler_.spawn(leave());
     }
   }
@@ -71,8 +93,11 @@
   void reload() {
     try {
       const Config fresh = load_config(path_);
+      const OperatorFile fresh_operator = load_operator(operator_path_, config_.memory);
       ++counters_.reloads;
       change_log_.moved(fresh.change_log, fresh.change_log_host);
+      log_.use(fresh_operator.log_form, fresh_operator.log_level);
+      if (flows_ && fresh_operator.flow_export.enabled) flows_->reload(fresh_operator.flow_export);
       std::string kept;
       const auto compare = [&](const char* field, bool same) {
         if (!same) kept += std::string(kept.empty() ? "" : ", ") + field;
@@ -82,10 +107,11 @@
       compare("seed", fresh.seed == config_.seed);
       compare("limits", fresh.limits == config_.limits);
       compare("settings", fresh.settings == config_.settings);
-      if (!kept.empty()) log_.line("{}: changed only by a restart: {}", config_.name, kept);
+      compare("flow_export/enabled", fresh_operator.flow_export.enabled == (flows_ != nullptr));
+      if (!kept.empty()) log_.info("changed_only_by_restart", "{}: changed only by a restart: {}", config_.name, kept);
     } catch (const std::exception& error) {
       ++counters_.reloads_failed;
-      log_.line("{}: the configuration stays as it is: {}", config_.name, error.what());
+      log_.warning("reload_failed", "{}: the configuration stays as it is: {}", config_.name, error.what());
     }
   }
 
@@ -97,15 +123,17 @@
          front_.close()) {
       co_await scheduler_.sleep_until(Scheduler::now() + 0.01);
     }
+    if (flows_) co_await flows_->finish(Scheduler::now() + config_.limits.flow_leave);
     scheduler_.stop();
   }
 
   const Config& config_;
-  const std::string path_;
+  const std::string path_, operator_path_;
   Log& log_;
   Counters counters_;
   Scheduler scheduler_;
   transport::Signals signals_;
+  std::unique_ptr<flow::Exporter> flows_;  // null: flows are not exported
   routing::ModuleActor module_;
   routing::ChangeLog change_log_;
   routing::Front front_;
@@ -113,9 +141,11 @@
 
 }  // namespace
 
-int serve(const Config& config, const std::string& path, Log& log) {
+int serve(const Config& config, const std::string& path, const std::string& operator_path, Log& log) {
   signal(SIGPIPE, SIG_IGN);
-  Service(config, path, log).run();
+  const OperatorFile operator_file = load_operator(operator_path, config.memory);
+  log.use(operator_file.log_form, operator_file.log_level);
+  Service(config, path, operator_file, operator_path, log).run();
   return 0;
 }
 
--- a/src/protocol/lines.cpp
+++ b/src/protocol/lines.cpp
@@ -122,6 +122,7 @@
     }
     looked_ = 0;
     used += whole;
+    answer_bytes_ = whole;
     handler.answer(id, meant->second, note, waited, word == "NOMOD", tag, report,
                    rest.substr(end + 1, *length));
   }
--- a/src/protocol/lines.hpp
+++ b/src/protocol/lines.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,7 @@
 // What a pull says of itself; it goes on as the client worded it.
 struct Wording {
   std::string lane, name, piece, cached, body;
+  std::uint32_t grade_number = 0, depot_number = 0;  // for flow records alone; not worded
 };
 
 std::string serve_line(const PullId& pull, const Wording& wording, Seconds wait, const NodeId& node,
@@ -36,10 +38,12 @@
   bool feed(std::string_view input, std::size_t& used, AnswerHandler& handler);
   // How many more bytes the answer that has begun needs at least.
   std::size_t wanted() const { return wanted_; }
+  // Of the answer that the handler is being told: all of it, line and body.
+  std::size_t answer_bytes() const { return answer_bytes_; }
 
  private:
   std::size_t most_line_, most_body_;
-  std::size_t looked_ = 0, wanted_ = 0;
+  std::size_t looked_ = 0, wanted_ = 0, answer_bytes_ = 0;
 };
 
 }  // namespace hareramp::protocol
--- a/src/routing/change_log.cpp
+++ b/src/routing/change_log.cpp
@@ -45,7 +45,7 @@
     broken_ = !usable_;
     if (broken_) return log_.troubled("answered " + std::string(status));
     if (!std::exchange(log_.trouble_, "").empty())
-      log_.log_.line("change log: followed again, after event {}", log_.last_);
+      log_.log_.info("change_log_followed", "change log: followed again, after event {}", log_.last_);
   }
   void header(std::string_view, std::string_view) override {}
   void body(std::string_view piece) override {
@@ -132,7 +132,7 @@
 void ChangeLog::moved(transport::Address address, const std::string& host) {
   mailbox_.post([this, address, host] {
     if (address == address_) return;
-    log_.line("change log: from now on at {}, after event {}", host, last_);
+    log_.info("change_log_moved", "change log: from now on at {}, after event {}", host, last_);
     follow(address, host);
   });
 }
@@ -152,7 +152,7 @@
 void ChangeLog::troubled(const std::string& what) {
   if (trouble_ == what) return;
   trouble_ = what;
-  log_.line("change log: {}; trying again, after event {}", what, last_);
+  log_.warning("change_log_lost", "change log: {}; trying again, after event {}", what, last_);
 }
 
 void ChangeLog::told(long long number, std::optional<protocol::Json> change) {
@@ -161,7 +161,7 @@
   if (number > 0) last_ = number;
   if (change && change->is_object()) return module_.change_arrived(std::move(*change), false);
   ++counters_.events_skipped;
-  log_.line("change log: event {} can't be read", number);
+  log_.warning("event_unreadable", "change log: event {} can't be read", number);
 }
 
 }  // namespace hareramp::routing
--- a/src/routing/change_log.hpp
+++ b/src/routing/change_log.hpp
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "counters.hpp"
-#include "limits.hpp"
-#include "log.hpp"
+#include "base/counters.hpp"
+#include "base/limits.hpp"
+#include "base/log.hpp"
 #include "protocol/events.hpp"
 #include "protocol/http.hpp"
 #include "routing/module.hpp"
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -43,13 +43,14 @@
 }  // namespace
 
 Front::Front(Scheduler& scheduler, const Limits& limits, Counters& counters, const transport::Address& at,
-             const Names& names, ModuleActor& module)
+             const Names& names, ModuleActor& module, flow::Exporter* flows)
     : scheduler_(scheduler),
       limits_(limits),
       counters_(counters),
       listener_(scheduler, at, limits.backlog),
       names_(names),
-      module_(module) {}
+      module_(module),
+      flows_(flows) {}
 
 Front::~Front() = default;
 
@@ -127,7 +128,14 @@
       parser_(HttpParser::Message::kRequest, {front.limits_.head_bytes, front.limits_.request_body}),
       mailbox_(front.scheduler_),
       resumed_(front.scheduler_),
-      moved_at_(Scheduler::now()) {}
+      moved_at_(Scheduler::now()) {
+  if (!front.flows_) return;
+  depot_ = front.flows_->depot_of(socket_.descriptor());
+  auto tap = front.flows_->client(socket_.descriptor());
+  tap_ = tap.get();
+  if (tap_) tap_->writing_for({});
+  socket_.observe(std::move(tap));
+}
 
 void Client::start() {
   front_.scheduler_.spawn(live(shared_from_this()));
@@ -188,6 +196,7 @@
     std::size_t used = 0;
     const auto step = parser_.feed(in_.view(), used, *this);
     in_.consume(used);
+    request_bytes_ += used;
     switch (step) {
       case HttpParser::Step::kMore:
         return;
@@ -298,7 +307,7 @@
   // Guards against clients that ask and do not read: their answers must not fill the memory. Nothing has run.
   if (front_.waiting_answers_ > front_.limits_.waiting_answers) {
     front_.module_.turned_back();
-    answer(503, "", "");
+    answer(503, "", "", ipfix::Outcome::kBounced);
     return true;
   }
   auto wording = std::make_shared<protocol::Wording>();
@@ -307,6 +316,11 @@
   wording->piece = piece;
   wording->cached = std::move(request_.cached);
   wording->body = std::move(request_.body);
+  if (tap_) {
+    grade_ = front_.flows_->grade(wording->lane);
+    wording->grade_number = grade_.value;
+    wording->depot_number = depot_.value;
+  }
   const Limits& limits = front_.limits_;
   const Seconds hard_stop = Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin);
   pull_ = {std::move(request_.id)};
@@ -324,7 +338,8 @@
     if (!owed_ || pull != pull_) return;
     std::string more;
     if (!content.tag.empty()) more = "ETag: \"" + content.tag + "\"\r\n";
-    answer(content.same_copy ? 304 : 200, std::move(more), std::move(content.bytes));
+    answer(content.same_copy ? 304 : 200, std::move(more), std::move(content.bytes), ipfix::Outcome::kCompleted,
+           content.note);
   });
 }
 
@@ -334,13 +349,13 @@
     std::string more;
     const auto pause = static_cast<long long>(std::ceil(come_back_in * 1000));
     if (pause > 0) more = "X-Pushback-Ms: " + std::to_string(pause) + "\r\n";
-    answer(503, std::move(more), "");
+    answer(503, std::move(more), "", ipfix::Outcome::kBounced);
   });
 }
 
 void Client::forfeited(const PullId& pull) {
   mailbox_.post([this, pull] {
-    if (owed_ && pull == pull_) answer(500, "", "");
+    if (owed_ && pull == pull_) answer(500, "", "", ipfix::Outcome::kForfeited);
   });
 }
 
@@ -353,8 +368,21 @@
   answer(status, "", "");
 }
 
-void Client::answer(int status, std::string more, std::string bytes) {
+void Client::label(ipfix::Outcome outcome, Note note) {
+  if (!tap_) return;
+  ipfix::Label label;
+  if (outcome != ipfix::Outcome::kNone)
+    label = {grade_, depot_, outcome, static_cast<std::uint8_t>(note)};
+  else
+    label.depot = depot_;
+  tap_->read_for(label, std::exchange(request_bytes_, 0));
+  tap_->writing_for(label);
+  if (outcome != ipfix::Outcome::kNone) tap_->pull_ended(label);
+}
+
+void Client::answer(int status, std::string more, std::string bytes, ipfix::Outcome outcome, Note note) {
   owed_ = false;
+  label(outcome, note);
   if (!keep_) closing_ = true;
   front_.counters_.bytes_answered += bytes.size();
   std::string head = protocol::http_answer(status, more, bytes.size(), keep_);
@@ -377,6 +405,7 @@
   if (!io.ok()) {
     // Guards against a client that does not read: what it was sent is not whole, and it can tell.
     if (io.end == IoEnd::kTimedOut) ++self->front_.counters_.clients_slow;
+    self->tap_ = nullptr;
     self->socket_.abort();
     self->leave();
     co_return;
@@ -401,6 +430,8 @@
 
 void Client::leave() {
   if (std::exchange(ended_, true)) return;
+  if (owed_) label(ipfix::Outcome::kLeft, Note::kNone);
+  tap_ = nullptr;  // goes with the socket
   socket_.close();
   if (std::exchange(owed_, false)) front_.module_.pull_left(pull_);
   resumed_.notify();
--- a/src/routing/front.hpp
+++ b/src/routing/front.hpp
@@ -7,8 +7,9 @@
 #include <string_view>
 #include <vector>
 
-#include "counters.hpp"
-#include "limits.hpp"
+#include "base/counters.hpp"
+#include "base/limits.hpp"
+#include "flow/exporter.hpp"
 #include "protocol/http.hpp"
 #include "routing/module.hpp"
 #include "transport/buffer.hpp"
@@ -25,7 +26,8 @@
 class Front {
  public:
   Front(transport::Scheduler& scheduler, const Limits& limits, Counters& counters,
-        const transport::Address& at, const Names& names, ModuleActor& module);
+        const transport::Address& at, const Names& names, ModuleActor& module,
+        flow::Exporter* flows = nullptr);
   ~Front();
 
   void start();
@@ -46,6 +48,7 @@
   transport::Listener listener_;
   const Names names_;
   ModuleActor& module_;
+  flow::Exporter* const flows_;  // null: flows are not exported
   std::list<std::shared_ptr<Client>> clients_;
   std::size_t waiting_answers_ = 0;  // bytes
 };
@@ -85,7 +88,10 @@
   void serve();
   bool serve_pull();
   void refuse(int status);
-  void answer(int status, std::string more, std::string bytes);
+  void answer(int status, std::string more, std::string bytes, ipfix::Outcome outcome = ipfix::Outcome::kNone,
+              Note note = Note::kNone);
+  // For flow records: what was read for this request, and what will be written for it, belong to its label.
+  void label(ipfix::Outcome outcome, Note note);
   void leave();
   static transport::Task<> live(std::shared_ptr<Client> self);
   static transport::Task<> read(std::shared_ptr<Client> self);
@@ -108,6 +114,9 @@
   bool shown_ = false;    // a whole request of a kind that is served here has come
   Seconds linger_until_ = 0;
   bool ended_ = false;
+  flow::Tap* tap_ = nullptr;          // in the socket, as long as that is open
+  ipfix::NameNumber depot_, grade_;   // of the request that is open
+  std::size_t request_bytes_ = 0;     // of the wire
 };
 
 }  // namespace hareramp::routing
--- a/src/routing/module.cpp
+++ b/src/routing/module.cpp
@@ -28,7 +28,7 @@
       retire(node);
     } else {
       listed_.insert(node);
-      connect(node, *place);
+      connect(node, *place, kind);
     }
     const Seconds age = transport::Clock::unix_now() - started_unix_ms / 1000;
     module_.director_->list_entry(now(), node, {index(module_.names_.zones, zone)},
@@ -54,7 +54,7 @@
   }
   void skipped(const std::string& what) override {
     ++module_.counters_.events_skipped;
-    module_.log_.line("change log: skipped {}", what);
+    module_.log_.warning("change_skipped", "change log: skipped {}", what);
   }
 
   void unknown_field(std::string_view) override { ++module_.counters_.unknown_fields; }
@@ -69,11 +69,17 @@
     const auto found = std::find(names.begin(), names.end(), name);
     return found == names.end() ? -1 : static_cast<int>(found - names.begin());
   }
-  void connect(const NodeId& node, transport::Address address) {
+  ipfix::Part part_of(const std::string& kind) const {
+    const std::string place = std::to_string(index(module_.names_.kinds, kind));
+    return place == module_.origin_kind_   ? ipfix::Part::kOrigin
+           : place == module_.parent_kind_ ? ipfix::Part::kParent
+                                           : ipfix::Part::kEdge;
+  }
+  void connect(const NodeId& node, transport::Address address, const std::string& kind) {
     auto& peer = module_.peers_[node];
     if (!peer) {
       peer = std::make_shared<Peer>(module_.scheduler_, module_.limits_, module_.counters_, module_.links_,
-                                    node, address, module_);
+                                    node, address, module_, module_.flows_, part_of(kind));
       peer->start();
     } else if (!(module_.addresses_[node] == address)) {
       peer->moved(address);
@@ -94,12 +100,15 @@
 };
 
 ModuleActor::ModuleActor(Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
-                         Names names, Settings settings, std::uint64_t seed)
+                         Names names, Settings settings, std::uint64_t seed, flow::Exporter* flows)
     : scheduler_(scheduler),
       limits_(limits),
       counters_(counters),
       log_(log),
       names_(std::move(names)),
+      flows_(flows),
+      parent_kind_(settings["FamilyInfo.ShieldKind"]),
+      origin_kind_(settings["FamilyInfo.OriginKind"]),
       mailbox_(scheduler) {
   Actions& actions = *this;
   director_ = std::make_unique<Director>(clock_.now(), std::move(settings), seed, actions);
@@ -305,6 +314,6 @@
 // The change log is followed from the start, whatever the module asks.
 void ModuleActor::follow_list() {}
 
-void ModuleActor::log(const std::string& words) { log_.line("{}", words); }
+void ModuleActor::log(const std::string& words) { log_.info("module", "{}", words); }
 
 }  // namespace hareramp::routing
--- a/src/routing/module.hpp
+++ b/src/routing/module.hpp
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "counters.hpp"
-#include "limits.hpp"
-#include "log.hpp"
+#include "base/counters.hpp"
+#include "base/limits.hpp"
+#include "base/log.hpp"
 #include "policy.hpp"
 #include "protocol/events.hpp"
 #include "protocol/lines.hpp"
@@ -38,7 +38,7 @@
 class ModuleActor : public HandOffs, private Actions {
  public:
   ModuleActor(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
-              Names names, Settings settings, std::uint64_t seed);
+              Names names, Settings settings, std::uint64_t seed, flow::Exporter* flows = nullptr);
   ~ModuleActor() override;
 
   void start();
@@ -98,6 +98,8 @@
   Counters& counters_;
   Log& log_;
   Names names_;
+  flow::Exporter* const flows_;  // null: flows are not exported
+  std::string parent_kind_, origin_kind_;  // by index, as the settings name them
   transport::Clock clock_;
   transport::Mailbox mailbox_;
   std::size_t links_ = 0, open_ = 0;
--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -27,9 +27,10 @@
       return;
     }
     peer.counters_.bytes_filled += body.size();
+    peer.book(*this, open.at(pull), result, note, parser.answer_bytes());
     if (result != Result::kCompleted) remember(pull);  // it may come again, and its answer may come twice
     peer.end(self.lock(), pull, result, note, waited, report,
-             Content{same_copy, std::string(tag), std::string(body)});
+             Content{same_copy, std::string(tag), std::string(body), note});
   }
 
   void unknown_field(std::string_view) override { ++peer.counters_.unknown_fields; }
@@ -51,6 +52,7 @@
   std::weak_ptr<Link> self;
   State state = State::kConnecting;
   transport::Socket socket;
+  flow::Tap* tap = nullptr;  // in the socket, as long as that is open
   transport::Buffer in;
   protocol::AnswerParser parser;
   std::deque<Piece> out;
@@ -65,7 +67,7 @@
 };
 
 Peer::Peer(Scheduler& scheduler, const Limits& limits, Counters& counters, std::size_t& links, NodeId node,
-           transport::Address address, HandOffs& told)
+           transport::Address address, HandOffs& told, flow::Exporter* flows, ipfix::Part part)
     : scheduler_(scheduler),
       limits_(limits),
       counters_(counters),
@@ -73,6 +75,8 @@
       node_(std::move(node)),
       address_(address),
       told_(told),
+      flows_(flows),
+      part_(part),
       mailbox_(scheduler) {}
 
 void Peer::start() { scheduler_.spawn(live(shared_from_this())); }
@@ -142,6 +146,7 @@
   const Seconds now = Scheduler::now();
   Open open;
   open.number = number;
+  open.grade = {wording.grade_number}, open.depot = {wording.depot_number};
   open.timer = watch(pull, number, std::min(give_up_at, now + limits_.begin_within), give_up_at);
   link->open.emplace(pull, open);
   link->out.push_back({protocol::serve_line(pull, wording, give_up_at - now, node_, fill), pull});
@@ -200,6 +205,7 @@
                LoadReport report, Content content) {
   const auto found = link->open.find(pull);
   const HandOffNumber number = found->second.number;
+  book(*link, found->second, result, note, 0);
   scheduler_.cancel(found->second.timer);
   link->open.erase(found);
   told_.ended(pull, number, node_, result, note, waited, std::move(report), std::move(content));
@@ -239,6 +245,9 @@
 void Peer::drop(const LinkPointer& link) {
   if (link->state == Link::State::kClosed) return;
   link->state = Link::State::kClosed;
+  for (auto& [pull, open] : link->open)
+    book(*link, open, open.written ? Result::kBroken : Result::kNotSent, Note::kNone, 0);
+  link->tap = nullptr;  // goes with the socket
   link->socket.close();
   if (!link->open.empty()) ++counters_.links_broken;
   forget(link);
@@ -277,8 +286,34 @@
   link->out.clear();
 }
 
+void Peer::book(Link& link, Open& open, Result result, Note note, std::size_t octets_read) {
+  if (!link.tap) return;
+  using ipfix::Outcome;
+  Outcome outcome = Outcome::kForfeited;
+  if (result == Result::kCompleted) outcome = Outcome::kCompleted;
+  if (result == Result::kCancelled) outcome = Outcome::kLeft;
+  if (result == Result::kTurnedAway || result == Result::kNotSent || result == Result::kAbsent ||
+      result == Result::kUnreachable)
+    outcome = Outcome::kBounced;
+  const std::size_t written = std::exchange(open.octets, 0);
+  if (written + octets_read == 0) return;  // nothing of it moved, or it is booked already
+  const ipfix::Label label{open.grade, open.depot, outcome, static_cast<std::uint8_t>(note)};
+  link.tap->wrote_for(label, written);
+  link.tap->read_for(label, octets_read);
+  link.tap->pull_ended(label);
+}
+
 // Notes what has been written whole.
 void Peer::wrote(Link& link, std::size_t bytes) {
+  if (link.tap) {
+    std::size_t left = bytes, begun = link.out_sent;
+    for (auto piece = link.out.begin(); left > 0 && piece != link.out.end(); ++piece) {
+      const std::size_t some = std::min(left, piece->bytes.size() - begun);
+      const auto found = link.open.find(piece->pull);
+      if (found != link.open.end()) found->second.octets += some;
+      left -= some, begun = 0;
+    }
+  }
   link.out_sent += bytes;
   while (!link.out.empty() && link.out_sent >= link.out.front().bytes.size()) {
     link.out_sent -= link.out.front().bytes.size();
@@ -357,6 +392,11 @@
   }
   ++counters_.links_opened;
   link->socket = std::move(connected.socket);
+  if (flows_) {
+    auto tap = flows_->node(link->socket.descriptor(), part_, node_.value);
+    link->tap = tap.get();
+    link->socket.observe(std::move(tap));
+  }
   link->state = Link::State::kUp;
   link->heard_at = Scheduler::now();
   pump(link);
--- a/src/routing/peer.hpp
+++ b/src/routing/peer.hpp
@@ -8,8 +8,9 @@
 #include <memory>
 #include <string>
 
-#include "counters.hpp"
-#include "limits.hpp"
+#include "base/counters.hpp"
+#include "base/limits.hpp"
+#include "flow/exporter.hpp"
 #include "policy.hpp"
 #include "protocol/lines.hpp"
 #include "transport/buffer.hpp"
@@ -23,6 +24,7 @@
 struct Content {
   bool same_copy = false;  // the client's copy is the one; no bytes
   std::string tag, bytes;
+  Note note = Note::kNone;
 };
 
 class HandOffs {
@@ -37,7 +39,8 @@
  public:
   // links counts the connections to all nodes together.
   Peer(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, std::size_t& links,
-       NodeId node, transport::Address address, HandOffs& told);
+       NodeId node, transport::Address address, HandOffs& told, flow::Exporter* flows = nullptr,
+       ipfix::Part part = ipfix::Part::kUnknown);
 
   void start();
   // Each of these only posts; the actor acts on them in order.
@@ -53,6 +56,8 @@
     transport::Scheduler::TimerKey timer;
     Seconds written_at = 0;
     bool written = false, moved_on = false;
+    ipfix::NameNumber grade, depot;   // for flow records, as is what was written of it
+    std::size_t octets = 0;
   };
   struct Piece {
     std::string bytes;
@@ -79,6 +84,8 @@
   void pump(const LinkPointer& link);
   bool write_out(const LinkPointer& link);
   void wrote(Link& link, std::size_t bytes);
+  // For flow records: books what was written of a hand-off, and so much read, by how it ended.
+  void book(Link& link, Open& open, Result result, Note note, std::size_t octets_read);
   static transport::Task<> live(std::shared_ptr<Peer> self);
   void watch_idle(const LinkPointer& link, Seconds until);
   static transport::Task<> run(std::shared_ptr<Peer> self, LinkPointer link);
@@ -92,6 +99,8 @@
   NodeId node_;
   transport::Address address_;
   HandOffs& told_;
+  flow::Exporter* const flows_;  // null: flows are not exported
+  const ipfix::Part part_;
   transport::Mailbox mailbox_;
   std::list<LinkPointer> links_;
   bool gone_ = false;
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -22,10 +22,15 @@
 
 // Frames hold sockets and mailboxes whose watches lead back here, so they go first.
 Scheduler::~Scheduler() {
+  clear();
+  ::close(epoll_);
+}
+
+void Scheduler::clear() {
   ready_.clear();
   timers_.clear();
   spawned_.clear();
-  ::close(epoll_);
+  ready_.clear();  // what the ends of sockets woke
 }
 
 Seconds Scheduler::now() {
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -39,6 +39,9 @@
   TimerKey at(Seconds when, Call what);
   void cancel(const TimerKey& timer) { timers_.erase(timer); }
 
+  // Ends every coroutine where it stands, and every timer: for an end in which those go first that they use.
+  void clear();
+
   void run();  // until stop() is called, or nothing is left that could ever happen
   void stop() { stopped_ = true; }
 
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -1,12 +1,16 @@
 #include "transport/socket.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <system_error>
 #include <utility>
 
@@ -21,19 +25,54 @@
   if (colon == std::string_view::npos) return {};
   Address address;
   const std::string_view digits = text.substr(colon + 1);
+  std::string host(text.substr(0, colon));
   unsigned short port = 0;
   const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
   if (error != std::errc() || end != digits.data() + digits.size()) return {};
-  address.raw_.sin_family = AF_INET;
-  address.raw_.sin_port = htons(port);
-  if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address.raw_.sin_addr) != 1) return {};
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    address.raw_.v6.sin6_family = AF_INET6;
+    address.raw_.v6.sin6_port = htons(port);
+    host = host.substr(1, host.size() - 2);
+    if (inet_pton(AF_INET6, host.c_str(), &address.raw_.v6.sin6_addr) != 1) return {};
+    return address;
+  }
+  address.raw_.v4.sin_family = AF_INET;
+  address.raw_.v4.sin_port = htons(port);
+  if (inet_pton(AF_INET, host.c_str(), &address.raw_.v4.sin_addr) != 1) return {};
+  return address;
+}
+
+Address Address::of(const sockaddr* raw, socklen_t size) {
+  Address address;
+  std::memcpy(&address.raw_, raw, std::min<std::size_t>(size, sizeof address.raw_));
+  return address;
+}
+
+std::optional<Address> Address::ask(Asked asked, int descriptor) {
+  Address address;
+  socklen_t size = sizeof address.raw_;
+  if (asked(descriptor, reinterpret_cast<sockaddr*>(&address.raw_), &size) != 0) return {};
   return address;
 }
+std::optional<Address> Address::own(int descriptor) { return ask(::getsockname, descriptor); }
+std::optional<Address> Address::peer(int descriptor) { return ask(::getpeername, descriptor); }
+
+std::span<const std::uint8_t> Address::bytes() const {
+  if (family() == AF_INET6) return raw_.v6.sin6_addr.s6_addr;
+  return {reinterpret_cast<const std::uint8_t*>(&raw_.v4.sin_addr), sizeof raw_.v4.sin_addr};
+}
 
 std::string Address::text() const {
-  char host[INET_ADDRSTRLEN] = {};
-  inet_ntop(AF_INET, &raw_.sin_addr, host, sizeof host);
-  return std::string(host) + ":" + std::to_string(ntohs(raw_.sin_port));
+  char host[INET6_ADDRSTRLEN] = {};
+  inet_ntop(family(), bytes().data(), host, sizeof host);
+  const std::string name = family() == AF_INET6 ? "[" + std::string(host) + "]" : host;
+  return name + ":" + std::to_string(port());
+}
+
+bool Address::operator==(const Address& other) const {
+  const auto mine = bytes(), theirs = other.bytes();
+  return family() == other.family() && port() == other.port() &&
+         std::equal(mine.begin(), mine.end(), theirs.begin(), theirs.end());
 }
 
 Socket::Socket(Scheduler& scheduler, int descriptor) : descriptor_(descriptor) {
@@ -46,11 +85,14 @@
 }
 
 Socket::Socket(Socket&& other) noexcept
-    : descriptor_(std::exchange(other.descriptor_, -1)), watch_(std::move(other.watch_)) {}
+    : descriptor_(std::exchange(other.descriptor_, -1)),
+      watch_(std::move(other.watch_)),
+      observer_(std::move(other.observer_)) {}
 
 Socket& Socket::operator=(Socket&& other) noexcept {
   std::swap(descriptor_, other.descriptor_);
   std::swap(watch_, other.watch_);
+  std::swap(observer_, other.observer_);
   return *this;
 }
 
@@ -58,6 +100,8 @@
 
 void Socket::close() {
   if (descriptor_ < 0) return;
+  if (observer_) observer_->closing(descriptor_);
+  observer_.reset();
   watch_->close();  // stays until the waiters have run
   ::close(std::exchange(descriptor_, -1));
 }
@@ -68,6 +112,12 @@
   return count == 0 || (count < 0 && !would_block(errno) && errno != EINTR);
 }
 
+std::size_t Socket::unacknowledged() const {
+  int waiting = 0;
+  if (descriptor_ < 0 || ioctl(descriptor_, SIOCOUTQ, &waiting) != 0 || waiting < 0) return 0;
+  return static_cast<std::size_t>(waiting);
+}
+
 void Socket::finish() {
   if (descriptor_ >= 0) ::shutdown(descriptor_, SHUT_WR);
 }
@@ -86,6 +136,7 @@
     const ssize_t count = ::recv(descriptor_, room.data(), room.size(), 0);
     if (count > 0) {
       into.filled(static_cast<std::size_t>(count));
+      if (observer_) observer_->has_read(static_cast<std::size_t>(count));
       co_return Io{IoEnd::kDone, static_cast<std::size_t>(count)};
     }
     if (count == 0) co_return Io{IoEnd::kEnded, 0};
@@ -105,6 +156,7 @@
     const ssize_t count = ::send(descriptor_, bytes.data() + io.bytes, bytes.size() - io.bytes, MSG_NOSIGNAL);
     if (count >= 0) {
       io.bytes += static_cast<std::size_t>(count);
+      if (observer_) observer_->has_written(static_cast<std::size_t>(count));
     } else if (errno != EINTR) {
       return {would_block(errno) ? IoEnd::kTimedOut : IoEnd::kBroken, io.bytes};
     }
@@ -126,7 +178,7 @@
 
 Task<Connected> connect(Scheduler& scheduler, Address to, Seconds until) {
   Connected connected;
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int descriptor = ::socket(to.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   connected.end = ConnectEnd::kNoDescriptor;
   if (descriptor < 0) co_return connected;
   try {
@@ -137,8 +189,7 @@
   connected.end = ConnectEnd::kRefused;
   const int on = 1;
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  const auto* raw = reinterpret_cast<const sockaddr*>(&to.raw());
-  if (::connect(descriptor, raw, sizeof to.raw()) == 0) {
+  if (::connect(descriptor, to.raw(), to.size()) == 0) {
     connected.end = ConnectEnd::kUp;
     co_return connected;
   }
@@ -152,21 +203,19 @@
     getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error == ECONNRESET) connected.end = ConnectEnd::kReset;
     if (error != 0) co_return connected;
-    sockaddr_in peer{};
-    size = sizeof peer;
-    if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) == 0) break;
+    if (Address::peer(descriptor)) break;
   }
   connected.end = ConnectEnd::kUp;
   co_return connected;
 }
 
 Listener::Listener(Scheduler& scheduler, const Address& at, int backlog) : scheduler_(scheduler) {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int descriptor = ::socket(at.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) throw std::system_error(errno, std::generic_category(), "socket");
   socket_ = Socket(scheduler, descriptor);
   const int on = 1;
   setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&at.raw()), sizeof at.raw()) != 0)
+  if (::bind(descriptor, at.raw(), at.size()) != 0)
     throw std::system_error(errno, std::generic_category(), "can't listen at " + at.text());
   if (::listen(descriptor, backlog) != 0)
     throw std::system_error(errno, std::generic_category(), "can't listen at " + at.text());
@@ -198,11 +247,55 @@
   }
 }
 
-Address Listener::address() const {
-  Address address;
-  socklen_t size = sizeof address.raw_;
-  getsockname(socket_.descriptor_, reinterpret_cast<sockaddr*>(&address.raw_), &size);
-  return address;
+Address Listener::address() const { return *Address::own(socket_.descriptor_); }
+
+namespace {
+Socket datagram_socket(Scheduler& scheduler, const Address& address,
+                       int (*use)(int, const sockaddr*, socklen_t), const char* what) {
+  const int descriptor = ::socket(address.family(), SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) throw std::system_error(errno, std::generic_category(), "socket");
+  Socket socket(scheduler, descriptor);
+  if (use(descriptor, address.raw(), address.size()) != 0)
+    throw std::system_error(errno, std::generic_category(), what + address.text());
+  return socket;
+}
+}  // namespace
+
+Datagrams Datagrams::to(Scheduler& scheduler, const Address& address) {
+  return Datagrams(datagram_socket(scheduler, address, ::connect, "can't send to "));
+}
+Datagrams Datagrams::at(Scheduler& scheduler, const Address& address) {
+  return Datagrams(datagram_socket(scheduler, address, ::bind, "can't listen at "));
+}
+
+Datagrams::Sent Datagrams::send_now(std::string_view bytes) {
+  for (;;) {
+    if (::send(socket_.descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0) return Sent::kSent;
+    if (errno == EINTR) continue;
+    if (would_block(errno) || errno == ENOBUFS || errno == ENOMEM) return Sent::kFull;
+    if (errno == ECONNREFUSED) return Sent::kRefused;
+    return errno == EMSGSIZE ? Sent::kTooLong : Sent::kFailed;
+  }
+}
+
+Task<Datagrams::Got> Datagrams::receive(std::span<char> room, Seconds until) {
+  for (;;) {
+    Got got;
+    if (!socket_.open()) co_return got;
+    sockaddr_storage from{};
+    socklen_t size = sizeof from;
+    const ssize_t count = ::recvfrom(socket_.descriptor_, room.data(), room.size(), 0,
+                                     reinterpret_cast<sockaddr*>(&from), &size);
+    if (count >= 0) {
+      got.ok = true;
+      got.bytes = static_cast<std::size_t>(count);
+      got.from = Address::of(reinterpret_cast<const sockaddr*>(&from), size);
+      co_return got;
+    }
+    if (errno == EINTR) continue;
+    if (!would_block(errno)) co_return got;
+    if (co_await socket_.watch_->readable(until) != Wake::kReady) co_return got;
+  }
 }
 
 }  // namespace hareramp::transport
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -1,11 +1,13 @@
-// TCP sockets for coroutines. Every wait has a time at which it ends.
+// TCP and UDP sockets for coroutines, over IPv4 and IPv6. Every wait has a time at which it ends.
 #pragma once
 
 #include <netinet/in.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -15,19 +17,43 @@
 
 namespace hareramp::transport {
 
-// An IPv4 address with its port, as in 127.0.0.1:80.
+// An address with its port, as in 127.0.0.1:80 or [::1]:80.
 class Address {
  public:
   static std::optional<Address> parse(std::string_view text);
-  const sockaddr_in& raw() const { return raw_; }
+  // As the system tells it of a socket's own side or of the other one; none if it has neither.
+  static std::optional<Address> own(int descriptor);
+  static std::optional<Address> peer(int descriptor);
+
+  static Address of(const sockaddr* raw, socklen_t size);
+
+  int family() const { return raw_.v4.sin_family; }
+  const sockaddr* raw() const { return reinterpret_cast<const sockaddr*>(&raw_); }
+  socklen_t size() const { return family() == AF_INET6 ? sizeof raw_.v6 : sizeof raw_.v4; }
+  std::uint16_t port() const { return ntohs(family() == AF_INET6 ? raw_.v6.sin6_port : raw_.v4.sin_port); }
+  // 4 or 16 bytes, in network order.
+  std::span<const std::uint8_t> bytes() const;
   std::string text() const;
-  bool operator==(const Address& other) const {
-    return raw_.sin_addr.s_addr == other.raw_.sin_addr.s_addr && raw_.sin_port == other.raw_.sin_port;
-  }
+  bool operator==(const Address& other) const;
 
  private:
-  friend class Listener;
-  sockaddr_in raw_{};
+  using Asked = int (*)(int, sockaddr*, socklen_t*);
+  static std::optional<Address> ask(Asked asked, int descriptor);
+  union Raw {
+    sockaddr_in v4;
+    sockaddr_in6 v6;
+  };
+  Raw raw_{};
+};
+
+// Told of what a socket moves, where somebody counts it. Lives with the socket.
+class SocketObserver {
+ public:
+  virtual ~SocketObserver() = default;
+  virtual void has_read(std::size_t bytes) = 0;
+  virtual void has_written(std::size_t bytes) = 0;
+  // The descriptor is still open: the last look at what the kernel counted.
+  virtual void closing(int descriptor) = 0;
 };
 
 enum class IoEnd { kDone, kEnded, kBroken, kTimedOut, kClosed };
@@ -47,6 +73,11 @@
   ~Socket();
 
   bool open() const { return descriptor_ >= 0; }
+  int descriptor() const { return descriptor_; }
+  void observe(std::unique_ptr<SocketObserver> observer) { observer_ = std::move(observer); }
+  SocketObserver* observer() const { return observer_.get(); }
+  // Bytes written that the other side's kernel has not acknowledged.
+  std::size_t unacknowledged() const;
   // One read, of whatever is there, behind what the buffer holds.
   Task<Io> read(Buffer& into, std::size_t least_room, Seconds until);
   // All of it, unless the connection ends or the time comes.
@@ -65,9 +96,11 @@
 
  private:
   friend class Listener;
+  friend class Datagrams;
   friend Task<struct Connected> connect(Scheduler& scheduler, Address to, Seconds until);
   int descriptor_ = -1;
   std::unique_ptr<Watch> watch_;
+  std::unique_ptr<SocketObserver> observer_;
 };
 
 // kReset: it came up, and the other side ended it at once.
@@ -97,4 +130,30 @@
   Socket socket_;
 };
 
+// A UDP socket: one that sends to a single address, or one that takes what comes to its own.
+class Datagrams {
+ public:
+  // Throw std::system_error.
+  static Datagrams to(Scheduler& scheduler, const Address& address);
+  static Datagrams at(Scheduler& scheduler, const Address& address);
+
+  enum class Sent { kSent, kFull, kRefused, kTooLong, kFailed };
+  // One datagram, or none of it. kRefused: nobody listens there, told of one sent before.
+  Sent send_now(std::string_view bytes);
+  struct Got {
+    bool ok = false;
+    std::size_t bytes = 0;
+    Address from;
+  };
+  // The next datagram; what does not fit into the room is cut off and lost.
+  Task<Got> receive(std::span<char> room, Seconds until);
+  Address address() const { return *Address::own(socket_.descriptor()); }
+  bool open() const { return socket_.open(); }
+  void close() { socket_.close(); }
+
+ private:
+  explicit Datagrams(Socket socket) : socket_(std::move(socket)) {}
+  Socket socket_;
+};
+
 }  // namespace hareramp::transport
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-#include "limits.hpp"
+#include "base/limits.hpp"
 #include "policy.hpp"
 #include "transport/scheduler.hpp"
 #include "transport/socket.hpp"
--- a/tests/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -1,6 +1,5 @@
 // Decisions as kept traces (tests/traces), one for each matter of the design, the five rules, and each
 // failure that was found on the bench.
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "helpers.hpp"
 
 using namespace hareramp;
--- a/tests/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -2,7 +2,7 @@
 #include <stdexcept>
 
 #include "helpers.hpp"
-#include "log.hpp"
+#include "base/log.hpp"
 #include "transport/buffer.hpp"
 #include "transport/clock.hpp"
 #include "transport/mailbox.hpp"
@@ -159,14 +159,14 @@
   REQUIRE(pipe(ends) == 0);
   Log log(ends[1]);
   const std::string words(1000, 'w');
-  for (int i = 0; i < 1000; ++i) log.line("{}", words);  // far more than a pipe holds
+  for (int i = 0; i < 1000; ++i) log.info("test", "{}", words);  // far more than a pipe holds
   std::string text(1 << 20, ' ');
   const auto read_all = [&] {
     const ssize_t count = ::read(ends[0], text.data(), text.size());
     return text.substr(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
   };
   CHECK(read_all().size() < 100000);
-  log.line("again");
+  log.info("test", "again");
   const std::string later = read_all();
   CHECK(later.find("Z again\n") != std::string::npos);
   CHECK(later.ends_with(" lines of the log are lost\n"));
