--- a/benchmarks/flow_benchmark.cpp
+++ b/benchmarks/flow_benchmark.cpp
@@ -1,5 +1,5 @@
-// What flow accounting costs: an octet count booked, a record told and written, bytes of memory for each flow;
-// the cost must be flat in the number of flows.
+// What flow accounting costs: an octet count booked, a record told and written, bytes of memory for each
+// flow; the cost must be flat in the number of flows.
 #include <benchmark/benchmark.h>
 #include <malloc.h>
 
@@ -32,13 +32,16 @@
   explicit Full(std::size_t flows) : table({flows, flows / 4, 1e9, 1e9}, 1, quiet) {
     for (std::size_t i = 0; i < flows / 4; ++i) {
       const auto made = *table.opened(0, {});
-      for (std::uint32_t label = 0; label < 4; ++label) table.moved(0, made, grade(label), ipfix::kForward, 100);
+      for (std::uint32_t label = 0; label < 4; ++label)
+        table.moved(0, made, grade(label), ipfix::kForward, 100);
     }
   }
   Quiet quiet;
   Table table;
 };
 
+// Every flow as likely as any other: what grows is misses of the processor's caches, 240 MB at a million
+// flows.
 void book(benchmark::State& state) {
   const auto flows = static_cast<std::size_t>(state.range(0));
   const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
@@ -54,6 +57,19 @@
 }
 BENCHMARK(book)->Arg(1000)->Arg(10000)->Arg(100000)->Arg(1000000);
 
+// A thousand connections busy among all of them, as at any moment: what the table itself costs.
+void book_busy(benchmark::State& state) {
+  const auto flows = static_cast<std::size_t>(state.range(0));
+  Full full(flows);
+  std::minstd_rand chance(1);
+  double now = 1;
+  for (auto _ : state) {
+    const ConnectionNumber at{static_cast<std::uint32_t>(chance() % 1000 * (flows / 4 / 1000))};
+    full.table.moved(now += 1e-6, at, grade(chance() % 4), ipfix::kReverse, 1000);
+  }
+}
+BENCHMARK(book_busy)->Arg(10000)->Arg(100000)->Arg(1000000);
+
 // The active time of each flow runs out, one after another: looked at, shared out, told.
 void tell(benchmark::State& state) {
   const auto flows = static_cast<std::size_t>(state.range(0));
@@ -97,7 +113,8 @@
   ipfix::EncoderSettings settings;
   settings.version = static_cast<ipfix::Version>(state.range(0));
   settings.enterprise = 32473;
-  ipfix::Encoder encoder(settings, [&](ipfix::Message message) { bytes += message.bytes.size(), flows += message.flows; });
+  ipfix::Encoder encoder(
+      settings, [&](ipfix::Message message) { bytes += message.bytes.size(), flows += message.flows; });
   Record record;
   record.start = record.end = 1.8e9;
   for (auto _ : state) {
@@ -112,7 +129,8 @@
 void depot(benchmark::State& state) {
   Networks networks;
   for (int i = 0; i < state.range(0); ++i)
-    networks.add("10." + std::to_string(i % 256) + "." + std::to_string(i / 256 % 256) + ".0/24", "d" + std::to_string(i));
+    networks.add("10." + std::to_string(i % 256) + "." + std::to_string(i / 256 % 256) + ".0/24",
+                 "d" + std::to_string(i));
   std::minstd_rand chance(1);
   for (auto _ : state)
     benchmark::DoNotOptimize(networks.find(boost::asio::ip::address_v4(0x0a000000u + chance() % 0x1000000u)));
--- a/experiments/flow_export.cpp
+++ b/experiments/flow_export.cpp
@@ -1,6 +1,6 @@
 // The long measurement of flow export: serving latency of one open load with export off, on, and on with a
-// collector that never reads, in interleaved runs on the same cores. Prints PASS or FAIL a bound and writes the
-// runs as JSON. The nodes and clients are stand-ins on loopback, the director is the real program.
+// collector that never reads, in interleaved runs on the same cores. Prints PASS or FAIL a bound and writes
+// the runs as JSON. The nodes and clients are stand-ins on loopback, the director is the real program.
 #include <fmt/format.h>
 #include <signal.h>
 
@@ -35,7 +35,8 @@
 
 double quantile(std::vector<double>& sorted, double share) {
   if (sorted.empty()) return NAN;
-  return sorted[std::min(sorted.size() - 1, static_cast<std::size_t>(share * static_cast<double>(sorted.size())))];
+  return sorted[std::min(sorted.size() - 1,
+                         static_cast<std::size_t>(share * static_cast<double>(sorted.size())))];
 }
 double median(std::vector<double> values) {
   std::sort(values.begin(), values.end());
@@ -44,7 +45,8 @@
 
 bool runs_until(Scheduler& scheduler, double most, const std::function<bool()>& holds) {
   bool held = false;
-  const auto watch = [](Scheduler& s, double until, const std::function<bool()>& wanted, bool& seen) -> Task<> {
+  const auto watch = [](Scheduler& s, double until, const std::function<bool()>& wanted,
+                        bool& seen) -> Task<> {
     while (!(seen = wanted()) && Scheduler::now() < until) co_await s.sleep_until(Scheduler::now() + 0.005);
     s.stop();
   };
@@ -58,8 +60,8 @@
 }
 
 // Arrivals by a Poisson process, whatever the answers do: each goes to a connection that is free.
-Task<> offer(Scheduler& scheduler, std::vector<std::unique_ptr<rig::Client>>& clients, double rate, double until,
-             std::uint64_t seed, std::uint64_t& turned_off) {
+Task<> offer(Scheduler& scheduler, std::vector<std::unique_ptr<rig::Client>>& clients, double rate,
+             double until, std::uint64_t seed, std::uint64_t& turned_off) {
   std::mt19937_64 chance(seed);
   std::exponential_distribution<double> gap(rate);
   double due = Scheduler::now();
@@ -75,7 +77,8 @@
   }
 }
 
-Run play(const std::string& way, const std::string& program, double seconds, double rate, std::uint64_t seed) {
+Run play(const std::string& way, const std::string& program, double seconds, double rate,
+         std::uint64_t seed) {
   Scheduler scheduler;
   std::string folder = files::temp_directory_path() / "hareramp-experiment-XXXXXX";
   if (!mkdtemp(folder.data())) throw std::runtime_error("no temporary folder");
@@ -120,8 +123,9 @@
     std::vector<std::unique_ptr<rig::Client>> clients;
     for (std::uint64_t i = 0; i < 64; ++i) {
       const char* grade = i % 8 == 0 ? "clip" : i % 8 == 1 ? "note" : "segment";
-      clients.push_back(std::make_unique<rig::Client>(scheduler, listen, *transport::Address::parse("127.0.0.2:0"),
-                                                      grade, i % 8 == 1, rig::Reading{}, i));
+      clients.push_back(std::make_unique<rig::Client>(scheduler, listen,
+                                                      *transport::Address::parse("127.0.0.2:0"), grade,
+                                                      i % 8 == 1, rig::Reading{}, i));
     }
     std::uint64_t turned_off = 0;
     scheduler.spawn(offer(scheduler, clients, rate, Scheduler::now() + seconds, seed, turned_off));
@@ -140,7 +144,8 @@
       all.insert(all.end(), client->latencies().begin(), client->latencies().end());
     }
     std::sort(all.begin(), all.end());
-    run.p50 = quantile(all, 0.5) * 1000, run.p99 = quantile(all, 0.99) * 1000, run.p999 = quantile(all, 0.999) * 1000;
+    run.p50 = quantile(all, 0.5) * 1000, run.p99 = quantile(all, 0.99) * 1000,
+    run.p999 = quantile(all, 0.999) * 1000;
     scheduler.clear();
   }
   files::remove_all(folder);
@@ -183,26 +188,32 @@
   std::vector<std::string> ways = {"off", "on", "silent", "off again"};
   for (int i = 0; i < runs; ++i) {
     for (const std::string& way : ways) {
-      const Run run = play(way == "off again" ? "off" : way, given["director"].as<std::string>(), seconds, rate,
-                           static_cast<std::uint64_t>(i) + 1);
+      const Run run = play(way == "off again" ? "off" : way, given["director"].as<std::string>(), seconds,
+                           rate, static_cast<std::uint64_t>(i) + 1);
       all[way].push_back(run);
-      out.push_back({{"way", way}, {"p50_ms", run.p50}, {"p99_ms", run.p99}, {"p999_ms", run.p999},
-                     {"asked", run.asked}, {"completed", run.completed}, {"records", run.flow_records},
+      out.push_back({{"way", way},
+                     {"p50_ms", run.p50},
+                     {"p99_ms", run.p99},
+                     {"p999_ms", run.p999},
+                     {"asked", run.asked},
+                     {"completed", run.completed},
+                     {"records", run.flow_records},
                      {"dropped", run.dropped}});
-      fmt::print(stderr, "{:<9} p50 {:.3f} p99 {:.3f} p99.9 {:.3f} ms, {} of {} completed, {} records, {} dropped\n", way,
-                 run.p50, run.p99, run.p999, run.completed, run.asked, run.flow_records, run.dropped);
+      fmt::print(stderr,
+                 "{:<9} p50 {:.3f} p99 {:.3f} p99.9 {:.3f} ms, {} of {} completed, {} records, {} dropped\n",
+                 way, run.p50, run.p99, run.p999, run.completed, run.asked, run.flow_records, run.dropped);
     }
     std::rotate(ways.begin(), ways.begin() + 1, ways.end());  // none is always first
   }
   files::create_directories(given["out"].as<std::string>());
   std::ofstream(given["out"].as<std::string>() + "/flow_export.json") << out.dump(1) << "\n";
 
-  const auto column = [&](const char* way, double Run::* which) {
+  const auto column = [&](const char* way, double Run::*which) {
     std::vector<double> values;
     for (const Run& run : all[way]) values.push_back(run.*which);
     return values;
   };
-  const auto middle = [&](const char* way, double Run::* which) { return median(column(way, which)); };
+  const auto middle = [&](const char* way, double Run::*which) { return median(column(way, which)); };
   // The noise: how far two ways that are the same lie apart, run by run.
   std::vector<double> noise;
   const auto first = column("off", &Run::p99), second = column("off again", &Run::p99);
--- a/experiments/rig/process.cpp
+++ b/experiments/rig/process.cpp
@@ -18,7 +18,8 @@
   all.insert(all.end(), words.begin(), words.end());
   child_ = fork();
   if (child_ == 0) {
-    for (const char* known : {"EDGE_NAME", "EDGE_LISTEN", "EDGE_CONFIG", "HARERAMP_OPERATOR"}) unsetenv(known);
+    for (const char* known : {"EDGE_NAME", "EDGE_LISTEN", "EDGE_CONFIG", "HARERAMP_OPERATOR"})
+      unsetenv(known);
     dup2(file, 1), dup2(file, 2);
     for (int other = 3; other < 1024; ++other) ::close(other);
     std::vector<char*> raw;
@@ -60,7 +61,8 @@
   std::istringstream words(text.substr(at, text.find('\n', at) - at));
   for (std::string word; words >> word;) {
     const auto equals = word.find('=');
-    if (equals != std::string::npos) all[word.substr(0, equals)] = std::strtoull(word.c_str() + equals + 1, nullptr, 10);
+    if (equals != std::string::npos)
+      all[word.substr(0, equals)] = std::strtoull(word.c_str() + equals + 1, nullptr, 10);
   }
   return all;
 }
--- a/experiments/rig/world.cpp
+++ b/experiments/rig/world.cpp
@@ -77,11 +77,13 @@
       if (in.size() < end + 2 + length + 2) break;
       in.consume(end + 2 + length + 2);
       ++self.pulls_;
-      const std::string id = line.substr(6, id_end - 6), fields = line.substr(id_end + 1, fields_end - id_end - 1);
+      const std::string id = line.substr(6, id_end - 6),
+                        fields = line.substr(id_end + 1, fields_end - id_end - 1);
       const auto size = self.sizes_.find(field(fields, "lane"));
       const std::size_t bytes = size == self.sizes_.end() ? 100 : size->second;
       std::uniform_real_distribution<double> share(0, 1);
-      const bool reset = share(self.chance_) < self.ways_.resets, away = share(self.chance_) < self.ways_.turns_away;
+      const bool reset = share(self.chance_) < self.ways_.resets,
+                 away = share(self.chance_) < self.ways_.turns_away;
       std::string text = fmt::format("{} ACK sum=rig,t0=1,why=mem {}\r\n", id, bytes);
       text.append(bytes, 'x').append("\r\n");
       if (away) text = id + " AGAIN why=crowded 0\r\n\r\n";
@@ -133,7 +135,8 @@
   ++tally_.connections;
   in_.consume(in_.size());
   if (reading_.receive_buffer > 0)
-    setsockopt(socket_.descriptor(), SOL_SOCKET, SO_RCVBUF, &reading_.receive_buffer, sizeof reading_.receive_buffer);
+    setsockopt(socket_.descriptor(), SOL_SOCKET, SO_RCVBUF, &reading_.receive_buffer,
+               sizeof reading_.receive_buffer);
   co_return true;
 }
 
@@ -227,9 +230,9 @@
       R"({{"id":"origin","addr":"{}","zone":"hub","kind":"origin","cell":1,"state":"active","weight":1,"started_ms":0}})",
       site.origin);
   return fmt::format(
-      R"({{"name":"rig","listen":"{}","seed":"8c1f30d27a5be964","changelog":"{}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},
+             R"({{"name":"rig","listen":"{}","seed":"8c1f30d27a5be964","changelog":"{}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},
 "known":{{"seq":1,"results":[{{"seq":1,"fleet":{{"version":1,"full":true,"servers":[{}]}}}}]}},)",
-      site.listen, site.change_log, site.memory_mb, site.sockets, servers) +
+             site.listen, site.change_log, site.memory_mb, site.sockets, servers) +
          R"("settings":{"Balancers":1,"Kinds":["cache","parent","origin"],"Zones":["hub","edge"],"Locality":1,
 "MembershipMode":"push","Weights":"nominal",
 "Contract":{"ColdS":10.0,"DrainGraceS":1.0,"FallMultiple":2.0,"FallS":3.0,"StartCapacity":0.2},
--- a/experiments/rig/world.hpp
+++ b/experiments/rig/world.hpp
@@ -1,6 +1,6 @@
 // Stand-ins for everything round one director, on loopback: nodes that speak the caches' protocol, the change
-// log, and clients that pull. Each counts the octets that pass it, by itself. No model of a real node: what they
-// are for is load and exact counts.
+// log, and clients that pull. Each counts the octets that pass it, by itself. No model of a real node: what
+// they are for is load and exact counts.
 #pragma once
 
 #include <cstdint>
@@ -30,7 +30,8 @@
 // A node: answers every pull with bytes, as many as its grade has.
 class Node {
  public:
-  Node(transport::Scheduler& scheduler, std::map<std::string, std::size_t> sizes, NodeWays ways, std::uint64_t seed);
+  Node(transport::Scheduler& scheduler, std::map<std::string, std::size_t> sizes, NodeWays ways,
+       std::uint64_t seed);
   transport::Address address() const { return address_; }
   const Octets& octets() const { return octets_; }
   std::uint64_t pulls() const { return pulls_; }
@@ -39,7 +40,8 @@
  private:
   static transport::Task<> take(Node& self);
   static transport::Task<> talk(Node& self, std::shared_ptr<transport::Socket> socket);
-  static transport::Task<> answer(Node& self, std::shared_ptr<transport::Socket> socket, std::string text, bool reset);
+  static transport::Task<> answer(Node& self, std::shared_ptr<transport::Socket> socket, std::string text,
+                                  bool reset);
 
   transport::Scheduler& scheduler_;
   std::map<std::string, std::size_t> sizes_;
@@ -82,8 +84,8 @@
 // One connection that pulls one grade, one pull after another.
 class Client {
  public:
-  Client(transport::Scheduler& scheduler, transport::Address director, transport::Address from, std::string grade,
-         bool write, Reading reading, std::uint64_t number);
+  Client(transport::Scheduler& scheduler, transport::Address director, transport::Address from,
+         std::string grade, bool write, Reading reading, std::uint64_t number);
   // So many pulls with a pause between; leaves: resets the connection in the middle of the last answer.
   void start(std::uint64_t pulls, double pause, bool leaves = false);
   // One pull, timed from when it was due; for open loads.
--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -52,24 +52,24 @@
   COUNT(purges, "purges told")                                                       \
   COUNT(bytes_answered, "bytes of answers to clients")                               \
   COUNT(bytes_filled, "bytes of answers from nodes")                                 \
-  COUNT(octets_from_clients, "bytes read from clients' connections")                \
-  COUNT(octets_to_clients, "bytes written to clients' connections")                 \
-  COUNT(octets_from_nodes, "bytes read from nodes' connections")                    \
-  COUNT(octets_to_nodes, "bytes written to nodes' connections")                     \
-  COUNT(flows, "flows held now")                                                    \
-  COUNT(flow_records, "flow records told of")                                       \
-  COUNT(flows_evicted, "of these told early: the table was full")                   \
-  COUNT(flows_uncounted, "connections not counted: no room for them")               \
-  COUNT(flow_messages, "messages of flow records finished")                         \
-  COUNT(flow_messages_sent, "of these handed to collectors, each counted")          \
-  COUNT(flow_messages_dropped, "of these dropped unsent, each collector counted")   \
-  COUNT(flow_records_dropped, "flow records in the messages dropped")               \
-  COUNT(collectors_up, "times that a collector was reached")                        \
-  COUNT(collectors_failed, "times that a collector was not reached, or was lost")   \
-  COUNT(collectors_full, "datagrams put off: the system had no room for them")      \
-  COUNT(spool_written, "messages on the disk")                                      \
-  COUNT(spool_failed, "messages that the disk did not take")                        \
-  COUNT(spool_read, "messages read back from the disk")                             \
+  COUNT(octets_from_clients, "bytes read from clients' connections")                 \
+  COUNT(octets_to_clients, "bytes written to clients' connections")                  \
+  COUNT(octets_from_nodes, "bytes read from nodes' connections")                     \
+  COUNT(octets_to_nodes, "bytes written to nodes' connections")                      \
+  COUNT(flows, "flows held now")                                                     \
+  COUNT(flow_records, "flow records told of")                                        \
+  COUNT(flows_evicted, "of these told early: the table was full")                    \
+  COUNT(flows_uncounted, "connections not counted: no room for them")                \
+  COUNT(flow_messages, "messages of flow records finished")                          \
+  COUNT(flow_messages_sent, "of these handed to collectors, each counted")           \
+  COUNT(flow_messages_dropped, "of these dropped unsent, each collector counted")    \
+  COUNT(flow_records_dropped, "flow records in the messages dropped")                \
+  COUNT(collectors_up, "times that a collector was reached")                         \
+  COUNT(collectors_failed, "times that a collector was not reached, or was lost")    \
+  COUNT(collectors_full, "datagrams put off: the system had no room for them")       \
+  COUNT(spool_written, "messages on the disk")                                       \
+  COUNT(spool_failed, "messages that the disk did not take")                         \
+  COUNT(spool_read, "messages read back from the disk")                              \
   COUNT(failures, "connections ended by a failure inside the director")
 
 namespace hareramp {
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -71,7 +71,8 @@
 
 void Log::use(LogForm form, LogLevel least) {
   form_ = form;
-  const char* pattern = form == LogForm::kText ? "%Y-%m-%dT%H:%M:%SZ %v" : "{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",%v}";
+  const char* pattern =
+      form == LogForm::kText ? "%Y-%m-%dT%H:%M:%SZ %v" : "{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",%v}";
   logger_->set_formatter(
       std::make_unique<spdlog::pattern_formatter>(pattern, spdlog::pattern_time_type::utc, "\n"));
   logger_->set_level(spdlog_level(least));
@@ -84,7 +85,8 @@
   if (!sink.takes_any()) return sink.lose_one();
   const std::uint64_t lost = sink.take_lost();
   const auto write = [&](LogLevel how, std::string_view name, std::string_view text, LogFields with) {
-    if (form_ == LogForm::kText) return logger_->log(spdlog_level(how), spdlog::string_view_t(text.data(), text.size()));
+    if (form_ == LogForm::kText)
+      return logger_->log(spdlog_level(how), spdlog::string_view_t(text.data(), text.size()));
     nlohmann::ordered_json record;
     record["level"] = name_of(how);
     record["event"] = name;
--- a/src/base/networks.cpp
+++ b/src/base/networks.cpp
@@ -17,10 +17,11 @@
 }
 
 template <class Network, class Map>
-std::optional<std::string> put(const Network& network, std::string_view prefix, std::string_view name, Map& map) {
+std::optional<std::string> put(const Network& network, std::string_view prefix, std::string_view name,
+                               Map& map) {
   if (network.canonical() != network)
-    return "'" + std::string(prefix) + "', which has bits set behind its prefix (the network is " + network.canonical().to_string() +
-           ")";
+    return "'" + std::string(prefix) + "', which has bits set behind its prefix (the network is " +
+           network.canonical().to_string() + ")";
   if (!map[network.prefix_length()].emplace(network.address(), name).second)
     return "'" + std::string(prefix) + "', which is there twice";
   return {};
--- a/src/base/networks.hpp
+++ b/src/base/networks.hpp
@@ -13,9 +13,9 @@
 
 class Networks {
  public:
-  // Adds 10.1.0.0/16 or 2001:db8::/32 under a name. Says what is there and wrong with it, or nothing. Prefixes
-  // may lie within one another; the same one twice is refused, also under the same name, and so are bits set
-  // behind the prefix, which are commonly a slip.
+  // Adds 10.1.0.0/16 or 2001:db8::/32 under a name. Says what is there and wrong with it, or nothing.
+  // Prefixes may lie within one another; the same one twice is refused, also under the same name, and so are
+  // bits set behind the prefix, which are commonly a slip.
   std::optional<std::string> add(std::string_view prefix, std::string_view name);
   // The name of the longest prefix that holds the address, or nothing. An IPv4 address mapped into IPv6
   // (RFC 4291, 2.5.5.2) counts as the IPv4 address that it is.
--- a/src/flow/backlog.hpp
+++ b/src/flow/backlog.hpp
@@ -1,6 +1,6 @@
 // The finished messages of one stream that wait in memory, numbered from the stream's start, and what each of
-// its receivers has lost of them. Pure. Bounded in bytes: the oldest goes first, and is then either on the disk
-// or, for each receiver that had not got it, counted as not sent.
+// its receivers has lost of them. Pure. Bounded in bytes: the oldest goes first, and is then either on the
+// disk or, for each receiver that had not got it, counted as not sent.
 #pragma once
 
 #include <cstddef>
@@ -22,7 +22,7 @@
   Backlog(std::size_t bytes, MessageNumber first) : bytes_most_(bytes), first_(first) {}
 
   MessageNumber push(MessagePointer message);
-  MessageNumber first() const { return first_; }                    // held in memory
+  MessageNumber first() const { return first_; }                   // held in memory
   MessageNumber end() const { return first_ + messages_.size(); }  // the number of the next one
   // Null if it is no longer, or not yet, here.
   MessagePointer at(MessageNumber number) const;
--- a/src/flow/delivery.cpp
+++ b/src/flow/delivery.cpp
@@ -8,8 +8,8 @@
 namespace {
 // What is behind by less is no replay but a moment's delay: one export of a busy second.
 constexpr std::uint64_t kLittleBehind = 64;  // messages
-// A collector is well again only after so many messages: over UDP a refusal is told after the message, and over
-// TCP one may take connections and close them.
+// A collector is well again only after so many messages: over UDP a refusal is told after the message, and
+// over TCP one may take connections and close them.
 constexpr std::uint32_t kProven = 16;  // messages
 }  // namespace
 
@@ -39,13 +39,14 @@
   templates_ever_ = false;
 }
 
-// Guards against many directors that come back to a collector at one moment: the pause doubles, and each takes
-// another part of it. It hurts by up to the longest pause after a long outage.
+// Guards against many directors that come back to a collector at one moment: the pause doubles, and each
+// takes another part of it. It hurts by up to the longest pause after a long outage.
 void Delivery::failed(Seconds now, std::size_t place) {
   Collector& collector = collectors_[place];
   const bool was_up = current_ == place;
   if (was_up) current_.reset();
-  collector.pause = collector.pause == 0 ? times_.first_pause : std::min(2 * collector.pause, times_.longest_pause);
+  collector.pause =
+      collector.pause == 0 ? times_.first_pause : std::min(2 * collector.pause, times_.longest_pause);
   const double part = std::uniform_real_distribution<double>(0.5, 1)(chance_);
   collector.again_at = std::max(collector.again_at, now + collector.pause * part);
 }
@@ -67,6 +68,8 @@
   if (behind > kLittleBehind) paced_until_ = std::max(paced_until_, now - 0.1) + 1 / times_.replay_per_s;
 }
 
-Seconds Delivery::may_send_at(std::uint64_t behind) const { return behind > kLittleBehind ? paced_until_ : 0; }
+Seconds Delivery::may_send_at(std::uint64_t behind) const {
+  return behind > kLittleBehind ? paced_until_ : 0;
+}
 
 }  // namespace hareramp::flow
--- a/src/flow/delivery.hpp
+++ b/src/flow/delivery.hpp
@@ -1,7 +1,7 @@
 // Decides how one receiver of a stream is reached: which of its collectors, when again after a failure, how
 // fast it may catch up, when templates are due. Pure: time is an argument, chance comes from the generator
-// given. A receiver is one collector that gets everything (mode duplicate), or all those of the mode failover,
-// in the order of the file, of which one at a time gets it.
+// given. A receiver is one collector that gets everything (mode duplicate), or all those of the mode
+// failover, in the order of the file, of which one at a time gets it.
 #pragma once
 
 #include <cstddef>
--- a/src/flow/exporter.cpp
+++ b/src/flow/exporter.cpp
@@ -83,7 +83,8 @@
 
   // The first message that is not surely there.
   MessageNumber floor() const {
-    if (session && !session->unacknowledged.empty()) return std::min(cursor, session->unacknowledged.front().number);
+    if (session && !session->unacknowledged.empty())
+      return std::min(cursor, session->unacknowledged.front().number);
     return session && session->datagrams && cursor > 0 && sent_any ? cursor - 1 : cursor;
   }
 
@@ -155,7 +156,8 @@
     encoder.first_sequence = ipfix ? first_sequence : 0;
     const auto place = static_cast<std::size_t>(protocol);
     streams_[place] = std::make_unique<Stream>(
-        protocol, encoder, [this, place](ipfix::Message message) { finished(*streams_[place], std::move(message)); },
+        protocol, encoder,
+        [this, place](ipfix::Message message) { finished(*streams_[place], std::move(message)); },
         settings.queue_bytes, ipfix ? first : 0);
     streams_[place]->spooled = ipfix && spool_ != nullptr;
     streams_[place]->to_disk = streams_[place]->on_disk;
@@ -164,7 +166,9 @@
 
 Exporter::~Exporter() = default;
 
-Exporter::Stream& Exporter::stream(Protocol protocol) { return *streams_[static_cast<std::size_t>(protocol)]; }
+Exporter::Stream& Exporter::stream(Protocol protocol) {
+  return *streams_[static_cast<std::size_t>(protocol)];
+}
 
 DeliveryTimes Exporter::times() const {
   DeliveryTimes times;
@@ -268,7 +272,9 @@
                        });
 }
 
-NameNumber Exporter::grade(const std::string& name_of_grade) { return name(ipfix::NameKind::kGrade, name_of_grade); }
+NameNumber Exporter::grade(const std::string& name_of_grade) {
+  return name(ipfix::NameKind::kGrade, name_of_grade);
+}
 
 NameNumber Exporter::depot_of(int descriptor) {
   const auto peer = transport::Address::peer(descriptor);
@@ -309,9 +315,9 @@
   for (const auto& receiver : stream.receivers) receiver->awake.notify();
 }
 
-// Guards against a collector that stops, and one that is slower than what there is to tell: memory is bounded,
-// the oldest goes, and the collector is told afterwards what it missed. It hurts where a collector is away for
-// longer than the queue lasts and there is no spool.
+// Guards against a collector that stops, and one that is slower than what there is to tell: memory is
+// bounded, the oldest goes, and the collector is told afterwards what it missed. It hurts where a collector
+// is away for longer than the queue lasts and there is no spool.
 void Exporter::keep_bound(Stream& stream) {
   MessageNumber needed = stream.sendable();
   for (const auto& receiver : stream.receivers) needed = std::min(needed, receiver->floor());
@@ -325,8 +331,8 @@
   });
 }
 
-void Exporter::account_dropped(Stream& stream, MessageNumber number, std::uint32_t flows, std::uint64_t packets,
-                               std::uint64_t octets) {
+void Exporter::account_dropped(Stream& stream, MessageNumber number, std::uint32_t flows,
+                               std::uint64_t packets, std::uint64_t octets) {
   for (const auto& receiver : stream.receivers) {
     if (number < receiver->cursor || (receiver->sending && number == receiver->cursor)) continue;
     count_not_sent(*receiver, flows, packets, octets);
@@ -437,8 +443,8 @@
     }
   }
   log_.event(LogLevel::kInfo, "flow_export_ended",
-             fmt::format("flow export: ended with {} records told, {} in messages dropped", counters_.flow_records,
-                         counters_.flow_records_dropped),
+             fmt::format("flow export: ended with {} records told, {} in messages dropped",
+                         counters_.flow_records, counters_.flow_records_dropped),
              {{"records", counters_.flow_records}, {"dropped", counters_.flow_records_dropped}});
 }
 
@@ -466,7 +472,8 @@
   const auto done = [this, &stream, batch, from, to] {
     if (batch->kept) {
       counters_.spool_written += to - from;
-      if (std::exchange(spool_ill_, false)) log_.info("spool_well", "flow export: the disk takes messages again");
+      if (std::exchange(spool_ill_, false))
+        log_.info("spool_well", "flow export: the disk takes messages again");
     } else {
       counters_.spool_failed += to - from;
       for (MessageNumber number = from; number < to; ++number) stream.not_kept.insert(number);
@@ -502,7 +509,8 @@
   };
   const auto work = std::make_shared<Work>();
   for (const auto& [reader, next] : cursors)
-    if (const auto stored = stored_cursors_.find(reader); stored == stored_cursors_.end() || stored->second != next)
+    if (const auto stored = stored_cursors_.find(reader);
+        stored == stored_cursors_.end() || stored->second != next)
       work->changed[reader] = next;
   const Seconds oldest = now() - settings_.spool.age;
   const auto job = [spool = spool_.get(), work, needed, oldest] {
@@ -623,11 +631,13 @@
   receiver.sending = false;
   if (receiver.session && !stream.spooled)
     for (const Session::Sent& sent : receiver.session->unacknowledged)
-      if (sent.number < stream.backlog.first()) count_not_sent(receiver, sent.flows, sent.packets, sent.octets);
+      if (sent.number < stream.backlog.first())
+        count_not_sent(receiver, sent.flows, sent.packets, sent.octets);
   if (receiver.session) receiver.session->stream.abort();
   receiver.session.reset();
   receiver.from_disk.clear();
-  if (from < receiver.cursor) receiver.cursor = stream.spooled ? from : std::max(from, stream.backlog.first());
+  if (from < receiver.cursor)
+    receiver.cursor = stream.spooled ? from : std::max(from, stream.backlog.first());
   if (const auto current = receiver.delivery.current()) {
     log_.warning("collector_lost", "flow export: {}: {}; {} messages wait",
                  name_of({receiver.collectors[*current]}), why, stream.backlog.end() - receiver.cursor);
@@ -683,7 +693,8 @@
     receiver.sending = false;
     session.written += io.bytes;
     if (!io.ok()) {
-      lost(stream, receiver, io.end == transport::IoEnd::kTimedOut ? "it takes nothing more" : "it has closed");
+      lost(stream, receiver,
+           io.end == transport::IoEnd::kTimedOut ? "it takes nothing more" : "it has closed");
       if (!stream.spooled && receiver.cursor < stream.backlog.first()) {
         count_not_sent(receiver, message->flows, message->packets, message->octets);
         receiver.cursor = stream.backlog.first();
--- a/src/flow/exporter.hpp
+++ b/src/flow/exporter.hpp
@@ -1,6 +1,6 @@
 // The actor of flow export: holds the table of flows, turns what it tells into messages, and brings these to
-// the collectors. Whatever a collector or the disk does, serving never waits for it: messages wait here, within
-// a bound, and what does not fit is dropped and told of. Runs in the loop, but for the disk.
+// the collectors. Whatever a collector or the disk does, serving never waits for it: messages wait here,
+// within a bound, and what does not fit is dropped and told of. Runs in the loop, but for the disk.
 #pragma once
 
 #include <array>
--- a/src/flow/names.cpp
+++ b/src/flow/names.cpp
@@ -6,7 +6,8 @@
 
 namespace hareramp::flow {
 
-ipfix::NameNumber Names::number(double now, ipfix::NameKind kind, std::string_view given, const Tell& first_time) {
+ipfix::NameNumber Names::number(double now, ipfix::NameKind kind, std::string_view given,
+                                const Tell& first_time) {
   if (given.empty()) return {};
   Key key{kind, std::string(given.substr(0, 64))};
   const auto found = held_.find(key);
--- a/src/flow/names.hpp
+++ b/src/flow/names.hpp
@@ -1,6 +1,6 @@
 // The names that records refer to by a number: depots, nodes, service grades. Pure. A number is made from the
-// name itself, so that it is the same after a reload, after a restart and at every director, and messages kept
-// on a disk still mean what they meant.
+// name itself, so that it is the same after a reload, after a restart and at every director, and messages
+// kept on a disk still mean what they meant.
 #pragma once
 
 #include <cstdint>
--- a/src/flow/table.cpp
+++ b/src/flow/table.cpp
@@ -16,7 +16,7 @@
 
 void Table::set_times(Seconds active, Seconds idle) { bounds_.active = active, bounds_.idle = idle; }
 
-void Table::append(Queue& queue, Links Flow::* links, Place place) {
+void Table::append(Queue& queue, Links Flow::*links, Place place) {
   Links& mine = flows_[place].*links;
   mine = {queue.last, kNone};
   if (queue.last == kNone)
@@ -26,7 +26,7 @@
   queue.last = place;
 }
 
-void Table::remove(Queue& queue, Links Flow::* links, Place place) {
+void Table::remove(Queue& queue, Links Flow::*links, Place place) {
   const Links mine = flows_[place].*links;
   if (mine.before == kNone)
     queue.first = mine.behind;
@@ -112,7 +112,8 @@
   ++flows_[find(now, connection.value, label)].pulls;
 }
 
-void Table::share_out(Connection& connection, Direction direction, std::uint64_t segments, std::uint64_t octets) {
+void Table::share_out(Connection& connection, Direction direction, std::uint64_t segments,
+                      std::uint64_t octets) {
   // A direction in which nothing moved carries only acknowledgements: they follow what they acknowledge.
   std::uint64_t all = 0;
   Direction by = direction;
@@ -132,7 +133,8 @@
     const auto part = [&](std::uint64_t whole) {
       return static_cast<std::uint64_t>(static_cast<long double>(whole) * flow.fresh[by] / all);
     };
-    const std::uint64_t some = std::min(part(segments), segments_left), bytes = std::min(part(wire), wire_left);
+    const std::uint64_t some = std::min(part(segments), segments_left),
+                        bytes = std::min(part(wire), wire_left);
     for (ipfix::Traffic* traffic : {&flow.delta, &flow.total}) {
       traffic->packets[direction] += some;
       traffic->wire[direction] += bytes;
@@ -151,7 +153,7 @@
   if (connection.first == kNone) return false;
   bool moved = false;
   for (const Direction way : {ipfix::kForward, ipfix::kReverse}) {
-    const auto since = [&](const std::array<std::uint64_t, 2> KernelCounts::* which) {
+    const auto since = [&](const std::array<std::uint64_t, 2> KernelCounts::*which) {
       const std::uint64_t then = (connection.seen.*which)[way], now = (counted.*which)[way];
       return now > then ? now - then : 0;  // asked in vain: the kernel has forgotten the connection
     };
@@ -199,7 +201,8 @@
   Place* link = &connections_[connection].first;
   while (*link != place) link = &flows_[*link].next;
   *link = flows_[place].next;
-  if (connections_[connection].latest == place) connections_[connection].latest = connections_[connection].first;
+  if (connections_[connection].latest == place)
+    connections_[connection].latest = connections_[connection].first;
   --connections_[connection].labels;
   connections_[connection].last_label = flows_[place].label;
   --live_flows_;
@@ -210,7 +213,8 @@
   Connection& connection = connections_[number.value];
   if (!connection.open) return;
   // One that never moved an octet is told of as well: somebody knocked. So are segments after the last flow.
-  const bool more = last.segments[0] > connection.seen.segments[0] || last.segments[1] > connection.seen.segments[1];
+  const bool more =
+      last.segments[0] > connection.seen.segments[0] || last.segments[1] > connection.seen.segments[1];
   if (connection.first == kNone && (!connection.told || more)) find(now, number.value, connection.last_label);
   look(number.value, last);
   connection.open = false;
@@ -240,14 +244,15 @@
     remove(told_, &Flow::told, place);
     append(told_, &Flow::told, place);
     flow.told_at = now;
-    if (look(flow.connection, events_.kernel({flow.connection})) && connections_[flow.connection].latest == place &&
-        flow.last < now) {
+    if (look(flow.connection, events_.kernel({flow.connection})) &&
+        connections_[flow.connection].latest == place && flow.last < now) {
       flow.last = now;
       remove(moved_, &Flow::moved, place);
       append(moved_, &Flow::moved, place);
     }
     const auto &octets = flow.delta.octets, &packets = flow.delta.packets;
-    if (octets[0] + octets[1] + packets[0] + packets[1] + flow.pulls == 0) continue;  // its idle time will end it
+    if (octets[0] + octets[1] + packets[0] + packets[1] + flow.pulls == 0)
+      continue;  // its idle time will end it
     tell(now, place, EndReason::kActive);
   }
   return false;
--- a/src/flow/table.hpp
+++ b/src/flow/table.hpp
@@ -1,12 +1,14 @@
 // The flows that are going on: what each connection has moved, by label, and when that is told of. Pure: no
-// I/O, time is an argument and never goes back; what the kernel counted is asked for through Kernel. Must never
-// lose or double an octet: the deltas of a flow's records add up to what was booked for it, at each moment.
+// I/O, time is an argument and never goes back; what the kernel counted is asked for through Kernel. Must
+// never lose or double an octet: the deltas of a flow's records add up to what was booked for it, at each
+// moment.
 //
 // A flow is one connection and one label (service grade, depot, outcome, cache note), both directions in one
 // record (RFC 5103). Octets are booked to a label exactly. Segments are counted by the kernel for the whole
 // connection; those since the last look are shared out among its flows by the octets moved since, what can't
 // be divided going to the flow with most; an acknowledgement counts by the octets of the other direction.
-// Octets are booked as the director hands them to the kernel; as long as segments go, the latest flow goes on.
+// Octets are booked as the director hands them to the kernel; as long as segments go, the latest flow goes
+// on.
 #pragma once
 
 #include <array>
@@ -21,8 +23,8 @@
 namespace hareramp::flow {
 
 using ipfix::Direction;
-using ipfix::EndReason;
 using ipfix::Endpoint;
+using ipfix::EndReason;
 using ipfix::Label;
 using ipfix::NameNumber;
 using ipfix::Part;
@@ -43,7 +45,8 @@
 
 // Of a connection since it came up, as the kernel counts; by direction.
 struct KernelCounts {
-  std::array<std::uint64_t, 2> segments{}, octets{};  // octets of payload, repeats included where it tells them
+  std::array<std::uint64_t, 2> segments{},
+      octets{};  // octets of payload, repeats included where it tells them
 };
 
 struct TableBounds {
@@ -107,7 +110,7 @@
   struct Connection {
     Ends ends;
     KernelCounts seen;
-    Label last_label;  // of the flow that ended last
+    Label last_label;                     // of the flow that ended last
     Place first = kNone, latest = kNone;  // flows; latest: the one that moved last, if it is still there
     std::uint32_t labels = 0;
     bool open = false, told = false;  // told: some record of it went out
@@ -122,8 +125,8 @@
   void share_out(Connection& connection, Direction direction, std::uint64_t segments, std::uint64_t octets);
   void tell(Seconds now, Place flow, EndReason reason);
   void end(Seconds now, Place flow, EndReason reason);
-  void append(Queue& queue, Links Flow::* links, Place flow);
-  void remove(Queue& queue, Links Flow::* links, Place flow);
+  void append(Queue& queue, Links Flow::*links, Place flow);
+  void remove(Queue& queue, Links Flow::*links, Place flow);
 
   TableBounds bounds_;
   TableEvents& events_;
--- a/src/flows_tool/archive.cpp
+++ b/src/flows_tool/archive.cpp
@@ -18,9 +18,10 @@
 
 namespace {
 
-constexpr double kHour = 3600;       // s a partition
-constexpr double kFuture = 2 * 3600;  // s that an exporter's clock may be ahead; beyond, it would fill the disk
-constexpr double kLookEvery = 30;    // s between looks for old partitions
+constexpr double kHour = 3600;  // s a partition
+constexpr double kFuture =
+    2 * 3600;                      // s that an exporter's clock may be ahead; beyond, it would fill the disk
+constexpr double kLookEvery = 30;  // s between looks for old partitions
 
 constexpr const char* kSchema = R"(
 CREATE TABLE IF NOT EXISTS messages(id INTEGER PRIMARY KEY, exporter TEXT, domain INTEGER, version INTEGER,
@@ -97,7 +98,9 @@
 
 struct Archive::Partition {
   explicit Partition(const std::string& path)
-      : database(path, true), ready(prepare(database)), add_message(database.raw(), R"(INSERT OR IGNORE INTO
+      : database(path, true),
+        ready(prepare(database)),
+        add_message(database.raw(), R"(INSERT OR IGNORE INTO
           messages(exporter, domain, version, sequence, export_time, bytes) VALUES(?,?,?,?,?,?))"),
         add_flow(database.raw(), "INSERT INTO flows VALUES(?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?)"),
         add_name(database.raw(), "INSERT OR REPLACE INTO names VALUES(?,?,?,?,?)"),
@@ -147,7 +150,8 @@
     open_.begin()->second->commit();
     open_.erase(open_.begin());
   }
-  const auto name = fmt::format("flows-{:%Y%m%dT%H}.sqlite", fmt::gmtime(static_cast<std::time_t>(hour * 3600)));
+  const auto name =
+      fmt::format("flows-{:%Y%m%dT%H}.sqlite", fmt::gmtime(static_cast<std::time_t>(hour * 3600)));
   auto made = std::make_unique<Partition>((files::path(directory_) / name).string());
   made->begin();
   for (const auto& [key, text] : names_) made->write_name(key, text);
@@ -164,7 +168,9 @@
   try {
     Partition* held = partition(static_cast<std::int64_t>(head.export_time / kHour));
     held->begin();
-    held->add_message.bind(1, exporter).bind(2, std::int64_t{head.domain}).bind(3, std::int64_t{head.version});
+    held->add_message.bind(1, exporter)
+        .bind(2, std::int64_t{head.domain})
+        .bind(3, std::int64_t{head.version});
     held->add_message.bind(4, std::int64_t{head.sequence}).bind(5, std::int64_t{head.export_time});
     held->add_message.bind(6, signed_of(head.bytes));
     held->add_message.step();
@@ -189,13 +195,26 @@
   if (!current_) return;
   Statement& add = current_->add_flow;
   add.bind(1, message_).bind(2, signed_of(row.id)).bind(3, row.initiator);
-  add.bind(4, std::int64_t{row.initiator_port}).bind(5, row.responder).bind(6, std::int64_t{row.responder_port});
+  add.bind(4, std::int64_t{row.initiator_port})
+      .bind(5, row.responder)
+      .bind(6, std::int64_t{row.responder_port});
   add.bind(7, row.start).bind(8, row.end);
-  const std::array<std::uint64_t, 16> numbers = {
-      static_cast<std::uint64_t>(row.reason), static_cast<std::uint64_t>(row.part),
-      static_cast<std::uint64_t>(row.outcome), static_cast<std::uint64_t>(row.note), row.depot, row.node, row.grade,
-      row.pulls, row.octets[0], row.octets[1], row.packets[0], row.packets[1], row.wire[0], row.wire[1],
-      row.total[0], row.total[1]};
+  const std::array<std::uint64_t, 16> numbers = {static_cast<std::uint64_t>(row.reason),
+                                                 static_cast<std::uint64_t>(row.part),
+                                                 static_cast<std::uint64_t>(row.outcome),
+                                                 static_cast<std::uint64_t>(row.note),
+                                                 row.depot,
+                                                 row.node,
+                                                 row.grade,
+                                                 row.pulls,
+                                                 row.octets[0],
+                                                 row.octets[1],
+                                                 row.packets[0],
+                                                 row.packets[1],
+                                                 row.wire[0],
+                                                 row.wire[1],
+                                                 row.total[0],
+                                                 row.total[1]};
   for (std::size_t i = 0; i < numbers.size(); ++i) add.bind(static_cast<int>(9 + i), signed_of(numbers[i]));
   add.step();
   add.reset();
@@ -249,7 +268,8 @@
     bytes -= files::file_size(all[i]);
     std::erase_if(open_, [&](const auto& entry) {
       return files::path(all[i]).filename() ==
-             fmt::format("flows-{:%Y%m%dT%H}.sqlite", fmt::gmtime(static_cast<std::time_t>(entry.first * 3600)));
+             fmt::format("flows-{:%Y%m%dT%H}.sqlite",
+                         fmt::gmtime(static_cast<std::time_t>(entry.first * 3600)));
     });
     for (const char* end : {"", "-wal", "-shm"}) files::remove(all[i] + end);
     ++counts_.removed;
@@ -333,12 +353,15 @@
             one.keys.push_back(fmt::format("{}/{}", exporter, domain));
             break;
           case By::kTime:
-            one.keys.push_back(fmt::format("{:%FT%TZ}", fmt::gmtime(static_cast<std::time_t>(rows.whole(8)))));
+            one.keys.push_back(
+                fmt::format("{:%FT%TZ}", fmt::gmtime(static_cast<std::time_t>(rows.whole(8)))));
             break;
         }
       }
       ReportLine& line = lines.try_emplace(one.keys, one).first->second;
-      const auto add = [&](std::uint64_t& to, int column) { to += static_cast<std::uint64_t>(rows.whole(column)); };
+      const auto add = [&](std::uint64_t& to, int column) {
+        to += static_cast<std::uint64_t>(rows.whole(column));
+      };
       add(line.records, 9), add(line.flows, 10), add(line.pulls, 11);
       for (int way = 0; way < 2; ++way)
         add(line.octets[way], 12 + way), add(line.packets[way], 14 + way), add(line.wire[way], 16 + way);
--- a/src/flows_tool/collector.cpp
+++ b/src/flows_tool/collector.cpp
@@ -14,16 +14,17 @@
 using transport::Task;
 
 namespace {
-constexpr std::size_t kDatagram = 65536;   // bytes; the most that UDP has
-constexpr std::size_t kReadRoom = 65536;   // bytes
-constexpr double kExporterIdle = 3600;     // s that a TCP exporter may say nothing
+constexpr std::size_t kDatagram = 65536;  // bytes; the most that UDP has
+constexpr std::size_t kReadRoom = 65536;  // bytes
+constexpr double kExporterIdle = 3600;    // s that a TCP exporter may say nothing
 constexpr std::size_t kExportersHeard = 65536;
-constexpr std::size_t kTurn = 200;         // datagrams before the others' turn
+constexpr std::size_t kTurn = 200;  // datagrams before the others' turn
 
 std::string without_port(const std::string& address) { return address.substr(0, address.rfind(':')); }
 }  // namespace
 
-Collector::Collector(Scheduler& scheduler, Archive& archive, std::uint32_t enterprise, std::size_t connections)
+Collector::Collector(Scheduler& scheduler, Archive& archive, std::uint32_t enterprise,
+                     std::size_t connections)
     : scheduler_(scheduler),
       archive_(archive),
       decoder_({}, *this),
@@ -112,7 +113,8 @@
   archive_.begin(exporter_, head, transport::Clock::unix_now());
   return true;  // names and types are of use, also from a message that came before
 }
-void Collector::record(const MessageHead& head, std::uint16_t, const std::vector<Value>& values, std::size_t scope) {
+void Collector::record(const MessageHead& head, std::uint16_t, const std::vector<Value>& values,
+                       std::size_t scope) {
   rows_.record(head, values, scope);
 }
 void Collector::message_ends(const MessageHead&) { archive_.end(); }
@@ -129,14 +131,17 @@
   const DecoderCounts& d = decoder_.counts();
   const ArchiveCounts& a = archive_.counts();
   return fmt::format(
-      "messages={} records={} flows={} duplicates={} lost={} out_of_order={} restarts={} no_template={} templates={} "
-      "redefined={} withdrawn={} bad_version={} bad_length={} bad_set={} bad_template={} bad_record={} too_many={} "
-      "sessions={} sessions_forgotten={} datagrams={} connections={} refused={} closed_bad={} partitions_removed={} "
+      "messages={} records={} flows={} duplicates={} lost={} out_of_order={} restarts={} no_template={} "
+      "templates={} "
+      "redefined={} withdrawn={} bad_version={} bad_length={} bad_set={} bad_template={} bad_record={} "
+      "too_many={} "
+      "sessions={} sessions_forgotten={} datagrams={} connections={} refused={} closed_bad={} "
+      "partitions_removed={} "
       "too_far={} archive_failed={}",
-      d.messages, d.records, a.flows, a.duplicates, d.lost, d.out_of_order, d.restarts, d.no_template, d.templates,
-      d.redefined, d.withdrawn, d.bad_version, d.bad_length, d.bad_set, d.bad_template, d.bad_record, d.too_many,
-      decoder_.sessions(), d.sessions_forgotten, counts_.datagrams, counts_.connections, counts_.refused,
-      counts_.closed_bad, a.removed, a.too_far, a.failed);
+      d.messages, d.records, a.flows, a.duplicates, d.lost, d.out_of_order, d.restarts, d.no_template,
+      d.templates, d.redefined, d.withdrawn, d.bad_version, d.bad_length, d.bad_set, d.bad_template,
+      d.bad_record, d.too_many, decoder_.sessions(), d.sessions_forgotten, counts_.datagrams,
+      counts_.connections, counts_.refused, counts_.closed_bad, a.removed, a.too_far, a.failed);
 }
 
 }  // namespace hareramp::flows_tool
--- a/src/flows_tool/collector.hpp
+++ b/src/flows_tool/collector.hpp
@@ -1,5 +1,6 @@
-// The collecting process (RFC 7011, 1.1): listens on UDP and TCP, decodes what exporters send, and puts it into
-// the archive. One thread; a slow disk makes TCP exporters wait and UDP ones lose, as the numbers then tell.
+// The collecting process (RFC 7011, 1.1): listens on UDP and TCP, decodes what exporters send, and puts it
+// into the archive. One thread; a slow disk makes TCP exporters wait and UDP ones lose, as the numbers then
+// tell.
 #pragma once
 
 #include <memory>
@@ -19,7 +20,8 @@
 
 class Collector : private Reader, private RowHandler {
  public:
-  Collector(transport::Scheduler& scheduler, Archive& archive, std::uint32_t enterprise, std::size_t connections);
+  Collector(transport::Scheduler& scheduler, Archive& archive, std::uint32_t enterprise,
+            std::size_t connections);
 
   // Either may be started, at the address given; throws std::system_error. Returns where it listens.
   transport::Address listen_udp(const transport::Address& at);
@@ -36,7 +38,8 @@
 
  private:
   bool message(const MessageHead& head) override;
-  void record(const MessageHead& head, std::uint16_t, const std::vector<Value>& values, std::size_t scope) override;
+  void record(const MessageHead& head, std::uint16_t, const std::vector<Value>& values,
+              std::size_t scope) override;
   void message_ends(const MessageHead&) override;
   void flow(const MessageHead&, const FlowRow& row) override;
   void name(const MessageHead&, const NameRow& row) override;
--- a/src/flows_tool/decoder.cpp
+++ b/src/flows_tool/decoder.cpp
@@ -43,8 +43,8 @@
   return two(bytes, 2);
 }
 
-// Guards against more exporters than there is memory for, real or made up: the one quiet longest goes, and its
-// data wait for its templates again. It hurts where more exporters than the bound are there in earnest.
+// Guards against more exporters than there is memory for, real or made up: the one quiet longest goes, and
+// its data wait for its templates again. It hurts where more exporters than the bound are there in earnest.
 Decoder::Session& Decoder::session(const std::string& name, std::uint32_t domain) {
   const Key key{name, domain};
   const auto found = sessions_.find(key);
@@ -94,7 +94,8 @@
   const bool uptime_fell = head.version == 9 && head.uptime_ms + 1000 < session.uptime_ms;
   if (session.next && head.sequence != *session.next) {
     const std::uint32_t ahead = head.sequence - *session.next;
-    if (uptime_fell || (ahead >= kFarAhead && head.sequence < kNearStart && head.export_time >= session.export_time)) {
+    if (uptime_fell ||
+        (ahead >= kFarAhead && head.sequence < kNearStart && head.export_time >= session.export_time)) {
       ++counts_.restarts;
     } else if (ahead < kFarAhead) {
       counts_.lost += ahead;
@@ -254,8 +255,8 @@
   held.templates.emplace(id, std::move(made));
 }
 
-bool Decoder::data(Session& held, const MessageHead& head, std::uint16_t id, std::string_view set, bool wanted,
-                   std::uint32_t& records) {
+bool Decoder::data(Session& held, const MessageHead& head, std::uint16_t id, std::string_view set,
+                   bool wanted, std::uint32_t& records) {
   const Template& known = held.templates.at(id);
   std::vector<Value> values;
   values.reserve(known.fields.size());
--- a/src/flows_tool/decoder.hpp
+++ b/src/flows_tool/decoder.hpp
@@ -71,7 +71,8 @@
   // False: the session can't be read any further (over TCP it has to be closed).
   bool message(const std::string& session, std::string_view bytes);
   void session_ended(const std::string& session);
-  // How long the message that begins here is, over a stream; nothing yet if that can't be told; 0: no message.
+  // How long the message that begins here is, over a stream; nothing yet if that can't be told; 0: no
+  // message.
   static std::optional<std::size_t> length(std::string_view bytes);
 
   const DecoderCounts& counts() const { return counts_; }
--- a/src/flows_tool/main.cpp
+++ b/src/flows_tool/main.cpp
@@ -71,10 +71,9 @@
   return 0;
 }
 
-const std::map<std::string, By> kBy = {{"depot", By::kDepot},       {"grade", By::kGrade},
-                                       {"node", By::kNode},         {"part", By::kPart},
-                                       {"outcome", By::kOutcome},   {"note", By::kNote},
-                                       {"exporter", By::kExporter}, {"time", By::kTime}};
+const std::map<std::string, By> kBy = {
+    {"depot", By::kDepot},     {"grade", By::kGrade}, {"node", By::kNode},         {"part", By::kPart},
+    {"outcome", By::kOutcome}, {"note", By::kNote},   {"exporter", By::kExporter}, {"time", By::kTime}};
 
 std::string quoted(const std::string& text) {  // RFC 4180
   if (text.find_first_of(",\"\n") == std::string::npos) return text;
@@ -90,7 +89,8 @@
   for (std::string word; std::getline(words, word, ',');) {
     const auto known = kBy.find(word);
     if (known == kBy.end())
-      throw BadCall(fmt::format("--by: '{}' is none of depot, grade, node, part, outcome, note, exporter, time", word));
+      throw BadCall(
+          fmt::format("--by: '{}' is none of depot, grade, node, part, outcome, note, exporter, time", word));
     query.by.push_back(known->second);
     columns.push_back(word);
   }
@@ -102,11 +102,13 @@
   if (form != "table" && form != "csv" && form != "json")
     throw BadCall(fmt::format("--format: '{}' is none of table, csv, json", form));
   const auto lines = report(given["archive"].as<std::string>(), query);
-  const std::vector<std::string> figures = {"records",     "flows",      "pulls",    "octets_out", "octets_in",
-                                            "packets_out", "packets_in", "wire_out", "wire_in"};
+  const std::vector<std::string> figures = {"records",    "flows",     "pulls",
+                                            "octets_out", "octets_in", "packets_out",
+                                            "packets_in", "wire_out",  "wire_in"};
   const auto values = [](const ReportLine& line) {
-    return std::vector<std::uint64_t>{line.records,    line.flows,      line.pulls,   line.octets[0], line.octets[1],
-                                      line.packets[0], line.packets[1], line.wire[0], line.wire[1]};
+    return std::vector<std::uint64_t>{line.records,    line.flows,     line.pulls,
+                                      line.octets[0],  line.octets[1], line.packets[0],
+                                      line.packets[1], line.wire[0],   line.wire[1]};
   };
   if (form == "json") {
     nlohmann::ordered_json all = nlohmann::ordered_json::array();
@@ -151,7 +153,8 @@
     std::map<std::tuple<std::string, std::int64_t, std::int64_t, std::int64_t>, std::string> names;
     Statement name(database.raw(), "SELECT exporter, domain, kind, number, name FROM names");
     while (name.step()) names[{name.text(0), name.whole(1), name.whole(2), name.whole(3)}] = name.text(4);
-    Statement rows(database.raw(), R"(SELECT m.exporter, m.domain, f.flow, f.initiator, f.initiator_port, f.responder,
+    Statement rows(database.raw(),
+                   R"(SELECT m.exporter, m.domain, f.flow, f.initiator, f.initiator_port, f.responder,
         f.responder_port, f.start, f.end, f.reason, f.part, f.outcome, f.note, f.depot, f.node, f.grade, f.pulls,
         f.octets_out, f.octets_in, f.packets_out, f.packets_in, f.wire_out, f.wire_in, f.total_out, f.total_in
         FROM flows f JOIN messages m ON m.id = f.message ORDER BY f.rowid)");
@@ -161,21 +164,31 @@
         const auto found = names.find({rows.text(0), rows.whole(1), kind, rows.whole(column)});
         return found == names.end() ? "" : found->second;
       };
-      nlohmann::ordered_json one = {
-          {"exporter", rows.text(0)},         {"domain", rows.whole(1)},
-          {"flow", rows.whole(2)},            {"initiator", rows.text(3)},
-          {"initiator_port", rows.whole(4)},  {"responder", rows.text(5)},
-          {"responder_port", rows.whole(6)},  {"start", rows.real(7)},
-          {"end", rows.real(8)},              {"reason", rows.whole(9)},
-          {"part", part_name(static_cast<int>(rows.whole(10)))},
-          {"outcome", outcome_name(static_cast<int>(rows.whole(11)))},
-          {"note", note_name(static_cast<int>(rows.whole(12)))},
-          {"depot", named(1, 13)},            {"node", named(2, 14)},
-          {"grade", named(3, 15)},            {"pulls", rows.whole(16)},
-          {"octets_out", rows.whole(17)},     {"octets_in", rows.whole(18)},
-          {"packets_out", rows.whole(19)},    {"packets_in", rows.whole(20)},
-          {"wire_out", rows.whole(21)},       {"wire_in", rows.whole(22)},
-          {"total_out", rows.whole(23)},      {"total_in", rows.whole(24)}};
+      nlohmann::ordered_json one = {{"exporter", rows.text(0)},
+                                    {"domain", rows.whole(1)},
+                                    {"flow", rows.whole(2)},
+                                    {"initiator", rows.text(3)},
+                                    {"initiator_port", rows.whole(4)},
+                                    {"responder", rows.text(5)},
+                                    {"responder_port", rows.whole(6)},
+                                    {"start", rows.real(7)},
+                                    {"end", rows.real(8)},
+                                    {"reason", rows.whole(9)},
+                                    {"part", part_name(static_cast<int>(rows.whole(10)))},
+                                    {"outcome", outcome_name(static_cast<int>(rows.whole(11)))},
+                                    {"note", note_name(static_cast<int>(rows.whole(12)))},
+                                    {"depot", named(1, 13)},
+                                    {"node", named(2, 14)},
+                                    {"grade", named(3, 15)},
+                                    {"pulls", rows.whole(16)},
+                                    {"octets_out", rows.whole(17)},
+                                    {"octets_in", rows.whole(18)},
+                                    {"packets_out", rows.whole(19)},
+                                    {"packets_in", rows.whole(20)},
+                                    {"wire_out", rows.whole(21)},
+                                    {"wire_in", rows.whole(22)},
+                                    {"total_out", rows.whole(23)},
+                                    {"total_in", rows.whole(24)}};
       fmt::print("{}\n", one.dump());
     }
   }
@@ -192,15 +205,20 @@
 std::vector<Command> commands() {
   std::vector<Command> all;
   options::options_description collecting("options"), reporting("options"), dumping("options");
-  const auto archive = [] { return options::value<std::string>()->default_value("flows")->value_name("DIR"); };
-  collecting.add_options()("help", "print this")("archive", archive(), "where the archive is, made if missing")(
+  const auto archive = [] {
+    return options::value<std::string>()->default_value("flows")->value_name("DIR");
+  };
+  collecting.add_options()("help", "print this")("archive", archive(),
+                                                 "where the archive is, made if missing")(
       "udp", options::value<std::string>()->default_value("127.0.0.1:4739"), "address to listen at, or off")(
       "tcp", options::value<std::string>()->default_value("127.0.0.1:4739"), "address to listen at, or off")(
       "keep-hours", options::value<double>()->default_value(744), "hours of export time that are kept")(
-      "max-mb", options::value<std::uint64_t>()->default_value(10240), "megabytes of the archive; the oldest hours go")(
+      "max-mb", options::value<std::uint64_t>()->default_value(10240),
+      "megabytes of the archive; the oldest hours go")(
       "connections", options::value<std::size_t>()->default_value(1024), "TCP exporters at once")(
       "commit", options::value<double>()->default_value(0.25), "seconds between commits")(
-      "enterprise", options::value<std::uint32_t>()->default_value(32473), "private enterprise number of hareramp");
+      "enterprise", options::value<std::uint32_t>()->default_value(32473),
+      "private enterprise number of hareramp");
   reporting.add_options()("help", "print this")("archive", archive(), "where the archive is")(
       "by", options::value<std::string>()->default_value("depot,grade"),
       "what to add up by, with commas: depot, grade, node, part, outcome, note, exporter, time")(
@@ -211,8 +229,10 @@
       "format", options::value<std::string>()->default_value("table"), "table, csv or json");
   dumping.add_options()("help", "print this")("archive", archive(), "where the archive is")(
       "most", options::value<std::int64_t>()->default_value(100), "records to print, one JSON object a line");
-  all.push_back({"collect", "take flow records by UDP and TCP into an archive, until SIGTERM", collect, collecting});
-  all.push_back({"report", "octets, packets, flows and pulls of an archive, added up", print_report, reporting});
+  all.push_back(
+      {"collect", "take flow records by UDP and TCP into an archive, until SIGTERM", collect, collecting});
+  all.push_back(
+      {"report", "octets, packets, flows and pulls of an archive, added up", print_report, reporting});
   all.push_back({"dump", "the records of an archive as JSON lines", dump, dumping});
   return all;
 }
@@ -243,7 +263,8 @@
       if (values.count("help")) {
         std::ostringstream text;
         text << command.known;
-        fmt::print("usage: hareramp-flows {0} [OPTIONS]\n\n{0}: {1}.\n\n{2}", command.name, command.what, text.str());
+        fmt::print("usage: hareramp-flows {0} [OPTIONS]\n\n{0}: {1}.\n\n{2}", command.name, command.what,
+                   text.str());
         return 0;
       }
       return command.run(values);
--- a/src/flows_tool/rows.cpp
+++ b/src/flows_tool/rows.cpp
@@ -11,12 +11,20 @@
 
 namespace {
 
-constexpr std::size_t kLearntMost = 4096;    // types of elements, from all exporters
-constexpr std::uint16_t kOwn9 = 57344;       // our elements in NetFlow v9, docs/flow-export.md
-constexpr std::array<const char*, 12> kOwnNames = {
-    "depotReference", "nodeReference",          "gradeReference",                "nodePart",
-    "pullOutcome",    "cacheNote",              "pullDeltaCount",                "payloadOctetTotalCount",
-    "reversePayloadOctetTotalCount", "nameReference", "nameKind",                "referenceName"};
+constexpr std::size_t kLearntMost = 4096;  // types of elements, from all exporters
+constexpr std::uint16_t kOwn9 = 57344;     // our elements in NetFlow v9, docs/flow-export.md
+constexpr std::array<const char*, 12> kOwnNames = {"depotReference",
+                                                   "nodeReference",
+                                                   "gradeReference",
+                                                   "nodePart",
+                                                   "pullOutcome",
+                                                   "cacheNote",
+                                                   "pullDeltaCount",
+                                                   "payloadOctetTotalCount",
+                                                   "reversePayloadOctetTotalCount",
+                                                   "nameReference",
+                                                   "nameKind",
+                                                   "referenceName"};
 
 // The IANA elements that dump names; the registry has them all.
 const std::map<std::uint16_t, const char*> kIana = {{1, "octetDeltaCount"},
--- a/src/flows_tool/rows.hpp
+++ b/src/flows_tool/rows.hpp
@@ -51,7 +51,20 @@
   std::string element_name(const FieldKey& key) const;
 
  private:
-  enum class Own { kDepot, kNode, kGrade, kPart, kOutcome, kNote, kPulls, kTotal, kTotalReverse, kNumber, kKind, kName };
+  enum class Own {
+    kDepot,
+    kNode,
+    kGrade,
+    kPart,
+    kOutcome,
+    kNote,
+    kPulls,
+    kTotal,
+    kTotalReverse,
+    kNumber,
+    kKind,
+    kName
+  };
   void learn(const std::vector<Value>& values);
   void flow(const MessageHead& head, const std::vector<Value>& values);
 
--- a/src/ipfix/elements.hpp
+++ b/src/ipfix/elements.hpp
@@ -20,7 +20,13 @@
 };
 
 // informationElementDataType, RFC 5610, 3.1
-enum class DataType : std::uint8_t { kUnsigned8 = 1, kUnsigned16 = 2, kUnsigned32 = 3, kUnsigned64 = 4, kString = 13 };
+enum class DataType : std::uint8_t {
+  kUnsigned8 = 1,
+  kUnsigned16 = 2,
+  kUnsigned32 = 3,
+  kUnsigned64 = 4,
+  kString = 13
+};
 // informationElementSemantics, RFC 5610, 3.6
 enum class Semantics : std::uint8_t { kDefault = 0, kDeltaCounter = 3, kTotalCounter = 2, kIdentifier = 4 };
 // informationElementUnits, RFC 5610, 3.5
--- a/src/ipfix/encoder.cpp
+++ b/src/ipfix/encoder.cpp
@@ -99,18 +99,18 @@
     out.bytes(8, r.initiator.address.data(), 4);   // sourceIPv4Address
     out.bytes(12, r.responder.address.data(), 4);  // destinationIPv4Address
   }
-  out.iana(7, r.initiator.port);                // sourceTransportPort
-  out.iana(11, r.responder.port);               // destinationTransportPort
-  out.iana(4, std::uint8_t{6});                 // protocolIdentifier: TCP
-  out.iana(239, std::uint8_t{1});               // biflowDirection: initiator
-  out.iana(152, milliseconds(r.start));         // flowStartMilliseconds
-  out.iana(153, milliseconds(r.end));           // flowEndMilliseconds
+  out.iana(7, r.initiator.port);                       // sourceTransportPort
+  out.iana(11, r.responder.port);                      // destinationTransportPort
+  out.iana(4, std::uint8_t{6});                        // protocolIdentifier: TCP
+  out.iana(239, std::uint8_t{1});                      // biflowDirection: initiator
+  out.iana(152, milliseconds(r.start));                // flowStartMilliseconds
+  out.iana(153, milliseconds(r.end));                  // flowEndMilliseconds
   out.iana(136, static_cast<std::uint8_t>(r.reason));  // flowEndReason
-  out.iana(401, r.delta.octets[kForward]);      // transportOctetDeltaCount
+  out.iana(401, r.delta.octets[kForward]);             // transportOctetDeltaCount
   out.reverse(401, r.delta.octets[kReverse]);
-  out.iana(2, r.delta.packets[kForward]);       // packetDeltaCount
+  out.iana(2, r.delta.packets[kForward]);  // packetDeltaCount
   out.reverse(2, r.delta.packets[kReverse]);
-  out.iana(1, r.delta.wire[kForward]);          // octetDeltaCount
+  out.iana(1, r.delta.wire[kForward]);  // octetDeltaCount
   out.reverse(1, r.delta.wire[kReverse]);
   out.own(kPayloadOctetTotal, r.total.octets[kForward]);
   out.own(kReversePayloadOctetTotal, r.total.octets[kReverse]);
@@ -143,8 +143,8 @@
 }
 
 template <class Out>
-void exporter_fields(Out& out, std::uint32_t domain, Seconds started, std::uint64_t messages, std::uint64_t flows,
-                     std::uint64_t octets) {
+void exporter_fields(Out& out, std::uint32_t domain, Seconds started, std::uint64_t messages,
+                     std::uint64_t flows, std::uint64_t octets) {
   out.iana(149, domain);                 // observationDomainId
   out.iana(160, milliseconds(started));  // systemInitTimeMilliseconds: a new one is a new run
   out.iana(41, messages);                // exportedMessageTotalCount
@@ -154,12 +154,12 @@
 
 template <class Out>
 void type_fields(Out& out, std::uint32_t enterprise, const OwnElement& element) {
-  out.iana(346, enterprise);                                     // privateEnterpriseNumber
-  out.iana(303, element.id);                                     // informationElementId
-  out.iana(339, static_cast<std::uint8_t>(element.type));        // informationElementDataType
-  out.iana(344, static_cast<std::uint8_t>(element.semantics));   // informationElementSemantics
-  out.iana(345, static_cast<std::uint16_t>(element.units));      // informationElementUnits
-  out.text(341, element.name);                                   // informationElementName
+  out.iana(346, enterprise);                                    // privateEnterpriseNumber
+  out.iana(303, element.id);                                    // informationElementId
+  out.iana(339, static_cast<std::uint8_t>(element.type));       // informationElementDataType
+  out.iana(344, static_cast<std::uint8_t>(element.semantics));  // informationElementSemantics
+  out.iana(345, static_cast<std::uint16_t>(element.units));     // informationElementUnits
+  out.text(341, element.name);                                  // informationElementName
 }
 
 // NetFlow v9 knows neither enterprise numbers nor reverse elements: octets and packets towards the initiator
@@ -183,11 +183,11 @@
     out.bytes(8, r.initiator.address.data(), 4);   // IPV4_SRC_ADDR
     out.bytes(12, r.responder.address.data(), 4);  // IPV4_DST_ADDR
   }
-  out.iana(7, r.initiator.port);   // L4_SRC_PORT
-  out.iana(11, r.responder.port);  // L4_DST_PORT
-  out.iana(4, std::uint8_t{6});    // PROTOCOL
-  out.iana(22, times.first);       // FIRST_SWITCHED
-  out.iana(21, times.last);        // LAST_SWITCHED
+  out.iana(7, r.initiator.port);            // L4_SRC_PORT
+  out.iana(11, r.responder.port);           // L4_DST_PORT
+  out.iana(4, std::uint8_t{6});             // PROTOCOL
+  out.iana(22, times.first);                // FIRST_SWITCHED
+  out.iana(21, times.last);                 // LAST_SWITCHED
   out.iana(1, r.delta.wire[kForward]);      // IN_BYTES
   out.iana(23, r.delta.wire[kReverse]);     // OUT_BYTES
   out.iana(2, r.delta.packets[kForward]);   // IN_PKTS
@@ -207,14 +207,16 @@
 }
 
 template <class Out>
-void name_fields9(Out& out, std::uint32_t domain, NameKind kind, NameNumber number, const std::uint8_t* name) {
+void name_fields9(Out& out, std::uint32_t domain, NameKind kind, NameNumber number,
+                  const std::uint8_t* name) {
   out.iana(1, domain);  // scope: System
   out.iana(kOwn9 + kNameKind, static_cast<std::uint8_t>(kind));
   out.iana(kOwn9 + kNameReference, number.value);
   out.bytes(kOwn9 + kReferenceName, name, kName9);
 }
 
-void put_template(std::string& to, std::uint16_t number, const std::vector<Field>& fields, std::size_t scopes) {
+void put_template(std::string& to, std::uint16_t number, const std::vector<Field>& fields,
+                  std::size_t scopes) {
   put(to, number);
   put(to, static_cast<std::uint16_t>(fields.size()));
   if (scopes > 0) put(to, static_cast<std::uint16_t>(scopes));
@@ -305,9 +307,10 @@
   close_set();
   const bool nine = settings_.version == Version::kNetflow9;
   put_at(message_.bytes, 2, static_cast<std::uint16_t>(nine ? records_ : message_.bytes.size()));
-  // NetFlow's times count from when this uptime was 0, which the header tells in whole seconds: so it is taken
-  // at the whole second.
-  if (nine) put_at(message_.bytes, 4, static_cast<std::uint32_t>(milliseconds(std::floor(now) - settings_.started)));
+  // NetFlow's times count from when this uptime was 0, which the header tells in whole seconds: so it is
+  // taken at the whole second.
+  if (nine)
+    put_at(message_.bytes, 4, static_cast<std::uint32_t>(milliseconds(std::floor(now) - settings_.started)));
   put_at(message_.bytes, nine ? 8 : 4, whole_seconds(now));
   sequence_ += nine ? 1 : records_;  // RFC 3954, 5.1 counts packets, RFC 7011, 3.1 data records
   message_.next_sequence = sequence_;
@@ -320,7 +323,9 @@
   Bytes bytes;
   bytes.all.reserve(200);
   if (settings_.version == Version::kNetflow9) {
-    const auto uptime = [&](Seconds at) { return static_cast<std::uint32_t>(milliseconds(at - settings_.started)); };
+    const auto uptime = [&](Seconds at) {
+      return static_cast<std::uint32_t>(milliseconds(at - settings_.started));
+    };
     flow_fields9(bytes, record, v6, {uptime(record.start), uptime(record.end)});
   } else {
     flow_fields(bytes, record, v6);
@@ -381,7 +386,7 @@
   name_fields9(fields, 0, NameKind::kDepot, {}, name);
   std::string bytes;
   put(bytes, std::uint16_t{kNames});
-  put(bytes, std::uint16_t{4});                                          // bytes of the scope's fields
+  put(bytes, std::uint16_t{4});                                         // bytes of the scope's fields
   put(bytes, static_cast<std::uint16_t>(4 * (fields.all.size() - 1)));  // of the others
   for (const Field& field : fields.all) put(bytes, field.id), put(bytes, field.length);
   append(now, kOptionsSet9, bytes);
--- a/src/ipfix/encoder.hpp
+++ b/src/ipfix/encoder.hpp
@@ -37,7 +37,7 @@
   Version version = Version::kIpfix;
   std::uint32_t domain = 1, enterprise = 0;
   std::size_t message_bytes = 1400;
-  Seconds started = 0;             // Unix time that NetFlow's uptime counts from
+  Seconds started = 0;  // Unix time that NetFlow's uptime counts from
   std::uint32_t first_sequence = 0;
 };
 
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -81,7 +81,8 @@
 const Command kCommands[] = {
     {"serve", "serve pulls until SIGTERM",
      "Answers GET /_health with 200 once it serves. SIGUSR1 prints the counters, SIGHUP reads the\n"
-     "configuration and the operator's file again and takes what they allow, SIGTERM or SIGINT ends it: new work is taken for a moment\n"
+     "configuration and the operator's file again and takes what they allow, SIGTERM or SIGINT ends it: new "
+     "work is taken for a moment\n"
      "longer, all that was taken is answered, and it exits with 0.\n",
      true, run_serve},
     {"check", "read a configuration and say what would be served",
@@ -125,7 +126,9 @@
     return 0;
   }
   try {
-    const auto text = [&](const char* name) { return given.count(name) ? given[name].as<std::string>() : ""; };
+    const auto text = [&](const char* name) {
+      return given.count(name) ? given[name].as<std::string>() : "";
+    };
     return command.run({text("config"), text("operator")}, out, err);
   } catch (const std::exception& error) {
     fmt::print(err, "hareramp {}: {}\n", command.name, error.what());
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -73,15 +73,15 @@
   limits.flows_a_turn = 256;                              // some 0.3 ms
   limits.spool_jobs = 64;                                 // a batch each: at 10 a second, several seconds
   limits.spool_read = 256 * kKb;
-  limits.flow_tick = 0.05;          // a record is late by so much at most
-  limits.flow_name_kept = 3600;     // longer than any message waits in memory
-  limits.flow_connect = 2;          // collectors may be far away
-  limits.flow_stall = 10;           // as long as a client may take
-  limits.flow_pause = 0.2;          // a collector that is restarted is back within a second
-  limits.flow_pause_longest = 30;   // one that is gone for an hour is found again within half a minute
-  limits.flow_come_home = 10;       // a look costs one connection
+  limits.flow_tick = 0.05;         // a record is late by so much at most
+  limits.flow_name_kept = 3600;    // longer than any message waits in memory
+  limits.flow_connect = 2;         // collectors may be far away
+  limits.flow_stall = 10;          // as long as a client may take
+  limits.flow_pause = 0.2;         // a collector that is restarted is back within a second
+  limits.flow_pause_longest = 30;  // one that is gone for an hour is found again within half a minute
+  limits.flow_come_home = 10;      // a look costs one connection
   limits.flow_trim = 1;
-  limits.flow_leave = 1;            // within what is left of the time to leave
+  limits.flow_leave = 1;  // within what is left of the time to leave
   return limits;
 }
 
--- a/src/program/operator.cpp
+++ b/src/program/operator.cpp
@@ -71,8 +71,8 @@
 
 [[noreturn]] void refuse(const std::string& file, const std::string& pointer, const std::string& there,
                          const std::string& asked) {
-  throw BadConfig(fmt::format("{}: at {}: found {}; wanted {}", file, pointer.empty() ? "/" : pointer,
-                              there, asked));
+  throw BadConfig(
+      fmt::format("{}: at {}: found {}; wanted {}", file, pointer.empty() ? "/" : pointer, there, asked));
 }
 
 // The first thing that is wrong, from the outermost error's innermost place.
@@ -149,7 +149,8 @@
   out.enterprise_number = or_else<std::uint32_t>(object, "enterprise_number", 32473);
   out.active_timeout = or_else(object, "active_timeout_s", 60.0);
   out.idle_timeout = or_else(object, "idle_timeout_s", 15.0);
-  out.flows_most = or_else<std::size_t>(object, "flows_most", std::max<std::size_t>(16, memory / 16 / kFlowBytes));
+  out.flows_most =
+      or_else<std::size_t>(object, "flows_most", std::max<std::size_t>(16, memory / 16 / kFlowBytes));
   out.message_bytes = or_else<std::size_t>(object, "message_bytes", 1400);
   out.template_resend = or_else(object, "template_resend_s", 60.0);
   out.template_resend_messages = or_else<std::size_t>(object, "template_resend_messages", 1000);
@@ -160,15 +161,17 @@
     const auto collector = read_collector(collectors[i], file, pointer);
     for (const auto& other : out.collectors)
       if (other.address == collector.address && other.transport == collector.transport)
-        refuse(file, pointer, shown(collectors[i]["address"]) + " for the second time", "each collector once");
+        refuse(file, pointer, shown(collectors[i]["address"]) + " for the second time",
+               "each collector once");
     out.collectors.push_back(collector);
   }
   const auto networks = std::make_shared<Networks>();
   const json& listed = object.contains("networks") ? object["networks"] : empty;
   for (std::size_t i = 0; i < listed.size(); ++i)
-    if (const auto wrong = networks->add(listed[i]["prefix"].get<std::string>(),
-                                         listed[i]["depot"].get<std::string>()))
-      refuse(file, fmt::format("/flow_export/networks/{}/prefix", i), *wrong, "each network once, in CIDR form");
+    if (const auto wrong =
+            networks->add(listed[i]["prefix"].get<std::string>(), listed[i]["depot"].get<std::string>()))
+      refuse(file, fmt::format("/flow_export/networks/{}/prefix", i), *wrong,
+             "each network once, in CIDR form");
   out.networks = networks;
   const json& spool = object.contains("spool") ? object["spool"] : empty;
   out.spool.enabled = or_else(spool, "enabled", false);
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -108,7 +108,8 @@
       compare("limits", fresh.limits == config_.limits);
       compare("settings", fresh.settings == config_.settings);
       compare("flow_export/enabled", fresh_operator.flow_export.enabled == (flows_ != nullptr));
-      if (!kept.empty()) log_.info("changed_only_by_restart", "{}: changed only by a restart: {}", config_.name, kept);
+      if (!kept.empty())
+        log_.info("changed_only_by_restart", "{}: changed only by a restart: {}", config_.name, kept);
     } catch (const std::exception& error) {
       ++counters_.reloads_failed;
       log_.warning("reload_failed", "{}: the configuration stays as it is: {}", config_.name, error.what());
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -338,8 +338,8 @@
     if (!owed_ || pull != pull_) return;
     std::string more;
     if (!content.tag.empty()) more = "ETag: \"" + content.tag + "\"\r\n";
-    answer(content.same_copy ? 304 : 200, std::move(more), std::move(content.bytes), ipfix::Outcome::kCompleted,
-           content.note);
+    answer(content.same_copy ? 304 : 200, std::move(more), std::move(content.bytes),
+           ipfix::Outcome::kCompleted, content.note);
   });
 }
 
--- a/src/routing/module.hpp
+++ b/src/routing/module.hpp
@@ -98,7 +98,7 @@
   Counters& counters_;
   Log& log_;
   Names names_;
-  flow::Exporter* const flows_;  // null: flows are not exported
+  flow::Exporter* const flows_;            // null: flows are not exported
   std::string parent_kind_, origin_kind_;  // by index, as the settings name them
   transport::Clock clock_;
   transport::Mailbox mailbox_;
--- a/src/routing/peer.hpp
+++ b/src/routing/peer.hpp
@@ -56,7 +56,7 @@
     transport::Scheduler::TimerKey timer;
     Seconds written_at = 0;
     bool written = false, moved_on = false;
-    ipfix::NameNumber grade, depot;   // for flow records, as is what was written of it
+    ipfix::NameNumber grade, depot;  // for flow records, as is what was written of it
     std::size_t octets = 0;
   };
   struct Piece {
--- a/src/storage/spool.cpp
+++ b/src/storage/spool.cpp
@@ -68,7 +68,9 @@
 
 class Transaction {
  public:
-  Transaction(MDB_env* environment, unsigned flags) { must(mdb_txn_begin(environment, nullptr, flags, &raw_)); }
+  Transaction(MDB_env* environment, unsigned flags) {
+    must(mdb_txn_begin(environment, nullptr, flags, &raw_));
+  }
   ~Transaction() {
     if (raw_) mdb_txn_abort(raw_);
   }
@@ -135,8 +137,9 @@
     transaction.commit();
     check_length(path);
   }
-  // Guards against a file that lost its end, where a look behind the end would be a bus error: the end is made
-  // up with zeros, which no page is, and every page in use is looked at once. Costs a pass over such a file.
+  // Guards against a file that lost its end, where a look behind the end would be a bus error: the end is
+  // made up with zeros, which no page is, and every page in use is looked at once. Costs a pass over such a
+  // file.
   void check_length(const std::string& path) const {
     MDB_envinfo info{};
     MDB_stat stat{};
--- a/src/storage/spool.hpp
+++ b/src/storage/spool.hpp
@@ -37,8 +37,8 @@
   static std::unique_ptr<Spool> open(const std::string& directory, std::size_t bytes, std::string& error,
                                      std::string& damaged);
 
-  // All or none of them, on the disk when it returns. Numbers must go up. dropped gets the oldest, which go to
-  // keep the bound. False with words in error: nothing has changed.
+  // All or none of them, on the disk when it returns. Numbers must go up. dropped gets the oldest, which go
+  // to keep the bound. False with words in error: nothing has changed.
   bool append(const std::vector<SpoolEntry>& entries, Dropped& dropped, std::string& error);
   // From number on, until so many bytes are there; at least one if there is one.
   std::vector<SpoolEntry> read(std::uint64_t from, std::size_t bytes, std::string& error);
--- a/tests/base/networks_test.cpp
+++ b/tests/base/networks_test.cpp
@@ -14,8 +14,12 @@
 
 TEST_CASE("the longest prefix counts, for both families") {
   Networks networks;
-  for (const auto& [prefix, name] : {std::pair("10.0.0.0/8", "all"), {"10.1.0.0/16", "north"}, {"10.1.2.0/24", "dock"},
-                                     {"10.1.2.3/32", "till"}, {"2001:db8::/32", "six"}, {"2001:db8:1::/48", "north"}})
+  for (const auto& [prefix, name] : {std::pair("10.0.0.0/8", "all"),
+                                     {"10.1.0.0/16", "north"},
+                                     {"10.1.2.0/24", "dock"},
+                                     {"10.1.2.3/32", "till"},
+                                     {"2001:db8::/32", "six"},
+                                     {"2001:db8:1::/48", "north"}})
     CHECK_FALSE(networks.add(prefix, name));
   CHECK(networks.size() == 6);
   CHECK(find(networks, "10.200.0.1") == "all");
@@ -38,7 +42,8 @@
   CHECK_FALSE(networks.add("10.1.0.0/16", "a"));
   CHECK(networks.add("10.1.0.0/16", "b").value().find("twice") != std::string::npos);
   CHECK(networks.add("10.1.0.1/16", "b").value().find("the network is 10.1.0.0/16") != std::string::npos);
-  for (const char* bad : {"", "10.1.0.0", "10.1.0.0/33", "10.1/16", "2001:db8::/129", "host/8", "10.1.0.0/-1"})
+  for (const char* bad :
+       {"", "10.1.0.0", "10.1.0.0/33", "10.1/16", "2001:db8::/129", "host/8", "10.1.0.0/-1"})
     CHECK(networks.add(bad, "b").has_value());
   CHECK(networks.size() == 1);
 }
--- a/tests/flow/decoder_test.cpp
+++ b/tests/flow/decoder_test.cpp
@@ -47,7 +47,8 @@
 
 std::string told(const DecoderCounts& c) {
   return fmt::format(
-      "records {} templates {} withdrawn {} redefined {} no_template {} lost {} out_of_order {} restarts {} | version "
+      "records {} templates {} withdrawn {} redefined {} no_template {} lost {} out_of_order {} restarts {} "
+      "| version "
       "{} length {} set {} template {} record {} too_many {}",
       c.records, c.templates, c.withdrawn, c.redefined, c.no_template, c.lost, c.out_of_order, c.restarts,
       c.bad_version, c.bad_length, c.bad_set, c.bad_template, c.bad_record, c.too_many);
@@ -90,10 +91,12 @@
   see("template and data", {learn, message(0, "0100 000c 1f90 0361 6263 0000")});
   see("long text", {learn, message(0, "0100 000c 1f90 ff00 0361 6263")});
   see("text longer than the set", {learn, message(0, "0100 000c 1f90 ff61 6263 6465")});
-  see("data before its template", {message(0, "0100 0008 1f90 0161"), learn, message(9, "0100 0008 1f90 0161")});
+  see("data before its template",
+      {message(0, "0100 0008 1f90 0161"), learn, message(9, "0100 0008 1f90 0161")});
   see("gap of five", {learn, message(0, "0100 0008 1f90 0161"), message(6, "0100 0008 1f90 0161")});
   see("back by one", {learn, message(5000, "0100 0008 1f90 0161"), message(5000, "0100 0008 1f90 0161")});
-  see("counted from the start again", {learn, message(5000, "0100 0008 1f90 0161"), message(0, "0100 0008 1f90 0161")});
+  see("counted from the start again",
+      {learn, message(5000, "0100 0008 1f90 0161"), message(0, "0100 0008 1f90 0161")});
   see("withdrawn", {learn, message(0, "0002 0008 0100 0000"), message(0, "0100 0008 1f90 0161")});
   see("all withdrawn", {learn, message(0, "0002 0008 0002 0000"), message(0, "0100 0008 1f90 0161")});
   see("redefined", {learn, message(0, "0002 000c 0100 0001 0007 0002"), message(0, "0100 0008 1f90 0161")});
@@ -157,7 +160,8 @@
 // What the fuzzer found, and the seeds it began with; see tests/flow/fuzz.cpp.
 TEST_CASE("the kept corpus is read without harm") {
   std::size_t files = 0;
-  for (const auto& entry : std::filesystem::directory_iterator(std::string(HARERAMP_SOURCE) + "/tests/flow/corpus")) {
+  for (const auto& entry :
+       std::filesystem::directory_iterator(std::string(HARERAMP_SOURCE) + "/tests/flow/corpus")) {
     std::ifstream file(entry.path(), std::ios::binary);
     std::stringstream bytes;
     bytes << file.rdbuf();
--- a/tests/flow/encoder_test.cpp
+++ b/tests/flow/encoder_test.cpp
@@ -23,7 +23,8 @@
   r.id = id;
   r.initiator.v6 = r.responder.v6 = v6;
   for (std::size_t i = 0; i < 16; ++i)
-    r.initiator.address[i] = static_cast<std::uint8_t>(i + 1), r.responder.address[i] = static_cast<std::uint8_t>(0xf0 + i);
+    r.initiator.address[i] = static_cast<std::uint8_t>(i + 1),
+    r.responder.address[i] = static_cast<std::uint8_t>(0xf0 + i);
   r.initiator.port = 40000, r.responder.port = 443;
   r.part = Part::kParent;
   r.node = {0xfedcba98u};
@@ -42,8 +43,8 @@
   std::map<std::pair<int, std::uint32_t>, std::string> names;
   std::string trace;
   bool message(const flows_tool::MessageHead&) override { return true; }
-  void record(const flows_tool::MessageHead& head, std::uint16_t, const std::vector<flows_tool::Value>& values,
-              std::size_t scope) override {
+  void record(const flows_tool::MessageHead& head, std::uint16_t,
+              const std::vector<flows_tool::Value>& values, std::size_t scope) override {
     rows.record(head, values, scope);
   }
   void message_ends(const flows_tool::MessageHead&) override {}
@@ -52,8 +53,8 @@
     names[{row.kind, row.number}] = row.name;
   }
   void not_sent(const flows_tool::MessageHead&, const flows_tool::NotSentRow& row) override {
-    trace += fmt::format("not sent to {}: {} flows, {} packets, {} octets\n", row.collector, row.flows, row.packets,
-                         row.octets);
+    trace += fmt::format("not sent to {}: {} flows, {} packets, {} octets\n", row.collector, row.flows,
+                         row.packets, row.octets);
   }
   void exporter(const flows_tool::MessageHead&, double started, std::uint64_t flows_told) override {
     trace += fmt::format("exporter since {:.3f}, {} flows\n", started, flows_told);
@@ -62,11 +63,12 @@
 
 std::string text(const flows_tool::FlowRow& r) {
   return fmt::format(
-      "{} {}:{} -> {}:{} {:.3f} {:.3f} reason {} part {} outcome {} note {} depot {} node {} grade {} pulls {} octets "
+      "{} {}:{} -> {}:{} {:.3f} {:.3f} reason {} part {} outcome {} note {} depot {} node {} grade {} pulls "
+      "{} octets "
       "{}/{} packets {}/{} wire {}/{} total {}/{}\n",
-      r.id, r.initiator, r.initiator_port, r.responder, r.responder_port, r.start, r.end, r.reason, r.part, r.outcome,
-      r.note, r.depot, r.node, r.grade, r.pulls, r.octets[0], r.octets[1], r.packets[0], r.packets[1], r.wire[0],
-      r.wire[1], r.total[0], r.total[1]);
+      r.id, r.initiator, r.initiator_port, r.responder, r.responder_port, r.start, r.end, r.reason, r.part,
+      r.outcome, r.note, r.depot, r.node, r.grade, r.pulls, r.octets[0], r.octets[1], r.packets[0],
+      r.packets[1], r.wire[0], r.wire[1], r.total[0], r.total[1]);
 }
 
 EncoderSettings settings(Version version, std::size_t bytes = 1400) {
@@ -117,11 +119,13 @@
   for (const Version version : {Version::kIpfix, Version::kNetflow9}) {
     for (const std::size_t bytes : {1024u, 1400u, 9000u}) {
       std::vector<Message> messages;
-      Encoder encoder(settings(version, bytes), [&](Message message) { messages.push_back(std::move(message)); });
+      Encoder encoder(settings(version, bytes),
+                      [&](Message message) { messages.push_back(std::move(message)); });
       encoder.templates(kNow);
       for (std::uint64_t i = 0; i < 500; ++i) {
         encoder.flow(kNow, sample(i, i % 3 == 0));
-        if (i % 10 == 0) encoder.name(kNow, NameKind::kNode, {static_cast<std::uint32_t>(i + 1)}, std::string(60, 'n'));
+        if (i % 10 == 0)
+          encoder.name(kNow, NameKind::kNode, {static_cast<std::uint32_t>(i + 1)}, std::string(60, 'n'));
       }
       encoder.flush(kNow);
       Read read;
@@ -149,35 +153,36 @@
 
 // The fields of our flow records as libfixbuf is to lay them out.
 struct Laid {
-  std::uint64_t flowId, flowStartMilliseconds, flowEndMilliseconds, octets, reverse_octets, packets, reverse_packets;
+  std::uint64_t flowId, flowStartMilliseconds, flowEndMilliseconds, octets, reverse_octets, packets,
+      reverse_packets;
   std::uint32_t sourceIPv4Address, destinationIPv4Address, grade;
   std::uint16_t sourceTransportPort, destinationTransportPort;
   std::uint8_t flowEndReason, outcome, padding[2];
 };
 
-fbInfoElementSpec_t laid_fields[] = {
-    {const_cast<char*>("flowId"), 8, 0},
-    {const_cast<char*>("flowStartMilliseconds"), 8, 0},
-    {const_cast<char*>("flowEndMilliseconds"), 8, 0},
-    {const_cast<char*>("transportOctetDeltaCount"), 8, 0},
-    {const_cast<char*>("reverseTransportOctetDeltaCount"), 8, 0},
-    {const_cast<char*>("packetDeltaCount"), 8, 0},
-    {const_cast<char*>("reversePacketDeltaCount"), 8, 0},
-    {const_cast<char*>("sourceIPv4Address"), 4, 0},
-    {const_cast<char*>("destinationIPv4Address"), 4, 0},
-    {const_cast<char*>("gradeReference"), 4, 0},
-    {const_cast<char*>("sourceTransportPort"), 2, 0},
-    {const_cast<char*>("destinationTransportPort"), 2, 0},
-    {const_cast<char*>("flowEndReason"), 1, 0},
-    {const_cast<char*>("pullOutcome"), 1, 0},
-    {const_cast<char*>("paddingOctets"), 2, 0},
-    {nullptr, 0, 0}};
+fbInfoElementSpec_t laid_fields[] = {{const_cast<char*>("flowId"), 8, 0},
+                                     {const_cast<char*>("flowStartMilliseconds"), 8, 0},
+                                     {const_cast<char*>("flowEndMilliseconds"), 8, 0},
+                                     {const_cast<char*>("transportOctetDeltaCount"), 8, 0},
+                                     {const_cast<char*>("reverseTransportOctetDeltaCount"), 8, 0},
+                                     {const_cast<char*>("packetDeltaCount"), 8, 0},
+                                     {const_cast<char*>("reversePacketDeltaCount"), 8, 0},
+                                     {const_cast<char*>("sourceIPv4Address"), 4, 0},
+                                     {const_cast<char*>("destinationIPv4Address"), 4, 0},
+                                     {const_cast<char*>("gradeReference"), 4, 0},
+                                     {const_cast<char*>("sourceTransportPort"), 2, 0},
+                                     {const_cast<char*>("destinationTransportPort"), 2, 0},
+                                     {const_cast<char*>("flowEndReason"), 1, 0},
+                                     {const_cast<char*>("pullOutcome"), 1, 0},
+                                     {const_cast<char*>("paddingOctets"), 2, 0},
+                                     {nullptr, 0, 0}};
 
 }  // namespace
 
 TEST_CASE("libfixbuf reads the same") {
   std::vector<Message> messages;
-  Encoder encoder(settings(Version::kIpfix), [&](Message message) { messages.push_back(std::move(message)); });
+  Encoder encoder(settings(Version::kIpfix),
+                  [&](Message message) { messages.push_back(std::move(message)); });
   for (std::uint64_t i = 0; i < 3; ++i) encoder.flow(kNow, sample(i + 1, false));
   encoder.flush(kNow);
 
--- a/tests/flow/export_test.cpp
+++ b/tests/flow/export_test.cpp
@@ -1,6 +1,6 @@
-// The whole way: clients, a director, nodes, and a collector on loopback. What arrives at the collector must be
-// what the clients and the nodes counted themselves, through slow readers, resets, collectors that go away and
-// a director that is killed.
+// The whole way: clients, a director, nodes, and a collector on loopback. What arrives at the collector must
+// be what the clients and the nodes counted themselves, through slow readers, resets, collectors that go away
+// and a director that is killed.
 #include <fmt/format.h>
 #include <signal.h>
 
@@ -33,7 +33,8 @@
     folder = files::temp_directory_path() / "hareramp-flows-XXXXXX";
     REQUIRE(mkdtemp(folder.data()) != nullptr);
     const std::map<std::string, std::size_t> sizes = {{"clip", 200000}, {"segment", 3000}, {"note", 50}};
-    for (unsigned i = 0; i < 3; ++i) nodes.push_back(std::make_unique<rig::Node>(scheduler, sizes, ways, i + 1));
+    for (unsigned i = 0; i < 3; ++i)
+      nodes.push_back(std::make_unique<rig::Node>(scheduler, sizes, ways, i + 1));
     listen = nobody(scheduler);
     collector_at = nobody(scheduler);
     rig::Site site;
@@ -58,13 +59,15 @@
     return fmt::format(R"({{"address":"{}","transport":"{}"{}}})", collector_at.text(), transport, more);
   }
   std::string spool() const {
-    return fmt::format(R"(,"spool":{{"enabled":true,"directory":"{}/spool","size_mb":8,"replay_per_s":1000}})", folder);
+    return fmt::format(
+        R"(,"spool":{{"enabled":true,"directory":"{}/spool","size_mb":8,"replay_per_s":1000}})", folder);
   }
   void start() {
     director = std::make_unique<rig::Process>(
-        HARERAMP_BINARY,
-        std::vector<std::string>{"serve", "--config", folder + "/config.json", "--operator", folder + "/operator.json"});
-    REQUIRE_MESSAGE(runs_until(scheduler, [&] { return director->has_printed("serving"); }), director->printed());
+        HARERAMP_BINARY, std::vector<std::string>{"serve", "--config", folder + "/config.json", "--operator",
+                                                  folder + "/operator.json"});
+    REQUIRE_MESSAGE(runs_until(scheduler, [&] { return director->has_printed("serving"); }),
+                    director->printed());
   }
   void collect() {
     archive.emplace(folder + "/archive", flows_tool::ArchiveBounds{});
@@ -73,9 +76,9 @@
     collecting->listen_udp(collector_at);
   }
   rig::Client& client(const char* from, const char* grade, rig::Reading reading = {}) {
-    clients.push_back(std::make_unique<rig::Client>(scheduler, listen,
-                                                    *transport::Address::parse(std::string(from) + ":0"), grade,
-                                                    grade == std::string("note"), reading, clients.size()));
+    clients.push_back(
+        std::make_unique<rig::Client>(scheduler, listen, *transport::Address::parse(std::string(from) + ":0"),
+                                      grade, grade == std::string("note"), reading, clients.size()));
     from_of.push_back(from), grade_of.push_back(grade);
     return *clients.back();
   }
@@ -87,8 +90,9 @@
   std::map<std::string, std::uint64_t> counters() {
     const std::string before = director->printed();
     director->send(SIGUSR1);
-    REQUIRE(runs_until(scheduler, [&] { return director->printed().size() > before.size() &&
-                                               director->printed().ends_with("\n"); }));
+    REQUIRE(runs_until(scheduler, [&] {
+      return director->printed().size() > before.size() && director->printed().ends_with("\n");
+    }));
     return director->counters();
   }
   // Asks for the counters until they hold something; the count of asks only bounds a test that fails.
@@ -110,7 +114,8 @@
   void settle() {
     std::uint64_t seen = ~0ull;
     REQUIRE(runs_until(scheduler, [&, since = Scheduler::now()]() mutable {
-      if (collecting->decoded().messages != seen) seen = collecting->decoded().messages, since = Scheduler::now();
+      if (collecting->decoded().messages != seen)
+        seen = collecting->decoded().messages, since = Scheduler::now();
       return Scheduler::now() > since + 0.2;
     }));
     archive->commit(transport::Clock::unix_now());
@@ -120,8 +125,9 @@
     query.by = std::move(by), query.part = part;
     std::map<std::string, Sums> all;
     for (const auto& line : flows_tool::report(folder + "/archive", query))
-      all[fmt::format("{}", fmt::join(line.keys, " "))] = {line.octets[0], line.octets[1], line.packets[0], line.packets[1],
-                                                           line.pulls,     line.flows,     line.records};
+      all[fmt::format("{}", fmt::join(line.keys, " "))] = {line.octets[0],  line.octets[1], line.packets[0],
+                                                           line.packets[1], line.pulls,     line.flows,
+                                                           line.records};
     return all;
   }
   // What the clients counted, by depot and grade.
@@ -255,7 +261,8 @@
   scene.client("127.0.0.3", "note").start(20, 0.01);
   scene.all_done();
   // Until every flow, those to nodes too, has ended for want of octets and its record is on the disk.
-  scene.counters_until([](auto& now) { return now["flows"] == 0 && now["spool_written"] == now["flow_messages"]; });
+  scene.counters_until(
+      [](auto& now) { return now["flows"] == 0 && now["spool_written"] == now["flow_messages"]; });
   scene.director->send(SIGKILL);
   REQUIRE(runs_until(scene.scheduler, [&] { return scene.director->ended(); }));
   scene.start();
@@ -280,8 +287,9 @@
   Scene scene;
   StandIn deaf(scene.scheduler, false);
   scene.collect();
-  scene.operators(fmt::format(R"({{"address":"{}","transport":"tcp"}},{})", deaf.address.text(), scene.collector("tcp")),
-                  R"(,"queue_kb":16)");
+  scene.operators(
+      fmt::format(R"({{"address":"{}","transport":"tcp"}},{})", deaf.address.text(), scene.collector("tcp")),
+      R"(,"queue_kb":16)");
   scene.start();
   // Enough records to fill the sockets' buffers in between and the queue.
   scene.client("127.0.0.2", "segment").start(20, 0);
--- a/tests/flow/fuzz.cpp
+++ b/tests/flow/fuzz.cpp
@@ -1,5 +1,5 @@
-// libFuzzer's entry to the collector: the input is a stream of messages of one session, split by their lengths,
-// with two bytes of length before each NetFlow v9 packet. cmake -DHARERAMP_FUZZ=ON with clang++.
+// libFuzzer's entry to the collector: the input is a stream of messages of one session, split by their
+// lengths, with two bytes of length before each NetFlow v9 packet. cmake -DHARERAMP_FUZZ=ON with clang++.
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -14,7 +14,8 @@
   Rows rows{32473, *this};
   std::uint64_t seen = 0;
   bool message(const MessageHead&) override { return true; }
-  void record(const MessageHead& head, std::uint16_t, const std::vector<Value>& values, std::size_t scope) override {
+  void record(const MessageHead& head, std::uint16_t, const std::vector<Value>& values,
+              std::size_t scope) override {
     rows.record(head, values, scope);
     for (const Value& value : values) seen += rows.element_name(value.key).size();
   }
--- a/tests/flow/table_test.cpp
+++ b/tests/flow/table_test.cpp
@@ -36,15 +36,16 @@
       sum.octets[way] += r.delta.octets[way], sum.packets[way] += r.delta.packets[way];
       sum.wire[way] += r.delta.wire[way];
       octets[way] += r.delta.octets[way], packets[way] += r.delta.packets[way];
-      adds_up = adds_up && sum.octets[way] == r.total.octets[way] && sum.packets[way] == r.total.packets[way] &&
-                sum.wire[way] == r.total.wire[way];
+      adds_up = adds_up && sum.octets[way] == r.total.octets[way] &&
+                sum.packets[way] == r.total.packets[way] && sum.wire[way] == r.total.wire[way];
     }
     pulls += r.pulls;
     forced_early += r.reason == EndReason::kNoRoom;
     if (traces)
-      trace += fmt::format("flow {} grade {} reason {} from {:.1f} to {:.1f}: {}/{} octets, {}/{} packets, {} pulls\n",
-                           r.id, r.label.grade.value, static_cast<int>(r.reason), r.start, r.end, r.delta.octets[0],
-                           r.delta.octets[1], r.delta.packets[0], r.delta.packets[1], r.pulls);
+      trace += fmt::format(
+          "flow {} grade {} reason {} from {:.1f} to {:.1f}: {}/{} octets, {}/{} packets, {} pulls\n", r.id,
+          r.label.grade.value, static_cast<int>(r.reason), r.start, r.end, r.delta.octets[0],
+          r.delta.octets[1], r.delta.packets[0], r.delta.packets[1], r.pulls);
   }
 };
 
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -17,9 +17,9 @@
 
 #include "base/limits.hpp"
 #include "policy.hpp"
+#include "trace.hpp"
 #include "transport/scheduler.hpp"
 #include "transport/socket.hpp"
-#include "trace.hpp"
 
 namespace hareramp {
 
--- a/tests/program/operator_test.cpp
+++ b/tests/program/operator_test.cpp
@@ -32,23 +32,35 @@
 
 TEST_CASE("slips in the operator's file are named by file, pointer, what is there and what is wanted") {
   std::string trace;
-  const std::string start = R"({"flow_export": {"enabled": true, "collectors": [{"address": "127.0.0.1:4739"}])";
-  for (const std::string& text :
-       {std::string("{"), std::string("[]"), std::string(R"({"logs": {}})"), std::string(R"({"log": {"level": "loud"}})"),
-        std::string(R"({"log": {"level": 3}})"), std::string(R"({"flow_export": {}})"),
-        std::string(R"({"flow_export": {"enabled": "yes"}})"), std::string(R"({"flow_export": {"enabled": true}})"),
-        start + R"(, "active_timeout_s": 0}})", start + R"(, "message_bytes": 70000}})",
-        start + R"(, "observation_domain": 1.5}})", start + R"(, "networks": [{"prefix": "10.0.0.0/8"}]}})",
-        start + R"(, "networks": [{"prefix": "10.0.0.1/8", "depot": "a"}]}})",
-        start + R"(, "networks": [{"prefix": "10.0.0.0/8", "depot": "a"}, {"prefix": "10.0.0.0/8", "depot": "b"}]}})",
-        start + R"(, "spool": {"enabled": true}}})", start + R"(, "colectors": []}})",
-        std::string(R"({"flow_export": {"enabled": true, "collectors": [{"address": "collector:4739"}]}})"),
-        std::string(R"({"flow_export": {"enabled": true, "collectors": [{"address": "127.0.0.1:99999"}]}})"),
-        std::string(R"({"flow_export": {"enabled": true, "collectors": [{"address": "127.0.0.1:1"},
+  const std::string start =
+      R"({"flow_export": {"enabled": true, "collectors": [{"address": "127.0.0.1:4739"}])";
+  for (
+      const std::string& text :
+      {std::string("{"),
+       std::string("[]"),
+       std::string(R"({"logs": {}})"),
+       std::string(R"({"log": {"level": "loud"}})"),
+       std::string(R"({"log": {"level": 3}})"),
+       std::string(R"({"flow_export": {}})"),
+       std::string(R"({"flow_export": {"enabled": "yes"}})"),
+       std::string(R"({"flow_export": {"enabled": true}})"),
+       start + R"(, "active_timeout_s": 0}})",
+       start + R"(, "message_bytes": 70000}})",
+       start + R"(, "observation_domain": 1.5}})",
+       start + R"(, "networks": [{"prefix": "10.0.0.0/8"}]}})",
+       start + R"(, "networks": [{"prefix": "10.0.0.1/8", "depot": "a"}]}})",
+       start +
+           R"(, "networks": [{"prefix": "10.0.0.0/8", "depot": "a"}, {"prefix": "10.0.0.0/8", "depot": "b"}]}})",
+       start + R"(, "spool": {"enabled": true}}})",
+       start + R"(, "colectors": []}})",
+       std::string(R"({"flow_export": {"enabled": true, "collectors": [{"address": "collector:4739"}]}})"),
+       std::string(R"({"flow_export": {"enabled": true, "collectors": [{"address": "127.0.0.1:99999"}]}})"),
+       std::string(R"({"flow_export": {"enabled": true, "collectors": [{"address": "127.0.0.1:1"},
                         {"address": "127.0.0.1:1"}]}})"),
-        std::string(R"({"flow_export": {"enabled": true, "collectors": [{"address": "[::1]:1", "transport": "tcp",
+       std::string(
+           R"({"flow_export": {"enabled": true, "collectors": [{"address": "[::1]:1", "transport": "tcp",
                         "protocol": "netflow9"}]}})"),
-        start + "}}"})
+       start + "}}"})
     trace += said(text);
   check_trace("operator_slips", trace);
 }
--- a/tests/storage/spool_test.cpp
+++ b/tests/storage/spool_test.cpp
@@ -68,7 +68,8 @@
   Dropped dropped;
   {
     auto spool = open(folder);
-    for (std::uint64_t i = 1; i <= 100; i += 2) CHECK(spool->append({entry(i), entry(i + 1)}, dropped, error));
+    for (std::uint64_t i = 1; i <= 100; i += 2)
+      CHECK(spool->append({entry(i), entry(i + 1)}, dropped, error));
     CHECK_FALSE(spool->append({entry(100)}, dropped, error));  // a number that is there
     CHECK(spool->put_cursor("tcp:127.0.0.1:4739", 42, error));
     std::string taken, damaged;
@@ -135,7 +136,8 @@
   }
 }
 
-TEST_CASE("a disk that fills up: the append says so, what was there stays, and it goes on when there is room") {
+TEST_CASE(
+    "a disk that fills up: the append says so, what was there stays, and it goes on when there is room") {
   Folder folder;
   auto spool = open(folder, 16 << 20);
   std::string error;
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -1,8 +1,8 @@
 // Buffers, the scheduler, timers, mailboxes and sockets.
 #include <stdexcept>
 
-#include "helpers.hpp"
 #include "base/log.hpp"
+#include "helpers.hpp"
 #include "transport/buffer.hpp"
 #include "transport/clock.hpp"
 #include "transport/mailbox.hpp"
@@ -175,6 +175,11 @@
 
 TEST_CASE("addresses") {
   CHECK(Address::parse("127.8.1.2:5050")->text() == "127.8.1.2:5050");
+  CHECK(Address::parse("[2001:db8::7]:443")->text() == "[2001:db8::7]:443");
+  CHECK(Address::parse("[::1]:1") == Address::parse("[0:0:0:0:0:0:0:1]:1"));
+  CHECK_FALSE(*Address::parse("[::1]:1") == *Address::parse("127.0.0.1:1"));
+  for (const char* bad : {"[::1]", "[::1:80", "::1:80", "[127.0.0.1]:80", "[]:80", "[::1]:"})
+    CHECK_FALSE(Address::parse(bad));
   for (const char* bad : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:99999", "host:80", ":80"})
     CHECK_FALSE(Address::parse(bad));
 }
@@ -185,3 +190,62 @@
   CHECK(clock.to_scheduler(clock.of_scheduler(before)) == doctest::Approx(before));
   CHECK(clock.now() >= clock.of_scheduler(before));
 }
+
+TEST_CASE("IPv6: a connection and datagrams, and a refusal is told") {
+  Scheduler scheduler;
+  Listener listener(scheduler, *Address::parse("[::1]:0"), 8);
+  std::string trace;
+  const auto talk = [](Scheduler& s, Listener& l, std::string& told) -> Task<> {
+    auto connected = co_await connect(s, l.address(), Scheduler::now() + 5);
+    auto accepted = co_await l.accept();
+    told += connected.end == ConnectEnd::kUp && accepted.end == Listener::End::kTaken ? "up " : "? ";
+    connected.socket.write_now("over six");
+    Buffer in(0);
+    co_await accepted.socket.read(in, 64, Scheduler::now() + 5);
+    told += std::string(in.view()) + "; ";
+    auto collector = Datagrams::at(s, *Address::parse("[::1]:0"));
+    auto exporter = Datagrams::to(s, collector.address());
+    told += exporter.send_now("one") == Datagrams::Sent::kSent ? "sent " : "? ";
+    told += exporter.send_now(std::string(70000, 'x')) == Datagrams::Sent::kTooLong ? "too long " : "? ";
+    std::string room(64, ' ');
+    const auto got = co_await collector.receive(room, Scheduler::now() + 5);
+    told += room.substr(0, got.bytes) + " from " + (got.from == exporter.address() ? "it" : "another");
+    collector.close();
+    auto sent = exporter.send_now("two");
+    for (int i = 0; i < 100 && sent == Datagrams::Sent::kSent; ++i) {
+      co_await s.sleep_until(Scheduler::now() + 0.001);
+      sent = exporter.send_now("three");
+    }
+    told += sent == Datagrams::Sent::kRefused ? " refused" : " ?";
+    l.close();
+    s.stop();
+  };
+  scheduler.spawn(talk(scheduler, listener, trace));
+  scheduler.run();
+  CHECK(trace == "up over six; sent too long one from it refused");
+}
+
+TEST_CASE("the log as JSON lines, its levels, and what a reader that stopped has lost") {
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  Log log(ends[1]);
+  const auto read_all = [&] {
+    std::string text(1 << 20, ' ');
+    const ssize_t count = ::read(ends[0], text.data(), text.size());
+    return text.substr(0, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+  };
+  log.use(LogForm::kJson, LogLevel::kWarning);
+  log.info("unseen", "not written");
+  log.event(LogLevel::kWarning, "collector_lost", "a \"quoted\" name\n",
+            {{"waiting", std::uint64_t{7}}, {"name", "c1"}});
+  const std::string line = read_all();
+  CHECK(line.starts_with("{\"time\":\"20"));
+  CHECK(line.ends_with(
+      "Z\",\"level\":\"warning\",\"event\":\"collector_lost\",\"words\":\"a \\\"quoted\\\" name\\n\","
+      "\"waiting\":7,\"name\":\"c1\"}\n"));
+  for (int i = 0; i < 1000; ++i) log.warning("flood", "{}", std::string(1000, 'w'));
+  read_all();
+  log.warning("again", "again");
+  CHECK(read_all().find("\"event\":\"log_lost\"") != std::string::npos);
+  ::close(ends[0]), ::close(ends[1]);
+}
