The laboratory begun: an emulated world, its auditor, baselines and experiments

A world in virtual time with fair links, memories, cold starts, a list that lags, purges and faults drives the real Director or a baseline; an auditor checks the five rules from what the world saw, and each of seven directors broken on purpose is caught by its own check. hareramp-lab runs experiments with bounds, compares policies.

--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,164 @@
+// hareramp-lab: plays experiments in the emulated world, compares policies, holds bounds.
+#include <fmt/format.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "lab/experiment.hpp"
+
+using namespace hareramp::lab;
+namespace options = boost::program_options;
+
+namespace {
+
+std::atomic<bool> interrupted = false;
+
+Experiment load(const std::string& path, bool quick) {
+  std::ifstream file(path);
+  if (!file) throw BadExperiment("can't read '" + path + "'");
+  std::stringstream text;
+  text << file.rdbuf();
+  return read_experiment(text.str(), path, quick);
+}
+
+std::vector<Played> play_with_progress(const Experiment& experiment, unsigned threads) {
+  signal(SIGINT, [](int) { interrupted = true; });
+  const bool shown = isatty(2);
+  auto played = play_all(experiment, threads, [&](std::size_t done, std::size_t all) {
+    if (shown) fmt::print(stderr, "\r{} of {} days{}", done, all, done == all ? "\n" : "");
+    return !interrupted;
+  });
+  std::erase_if(played, [](const Played& one) { return one.figures.empty(); });
+  if (interrupted) fmt::print(stderr, "stopped; what follows is of the {} days played\n", played.size());
+  return played;
+}
+
+std::vector<double> column(const std::vector<Played>& played, const std::string& policy,
+                           const std::string& metric) {
+  std::vector<double> values;
+  for (const Played& one : played)
+    if (one.policy == policy) {
+      const auto found = one.figures.find(metric);
+      if (found == one.figures.end()) throw BadExperiment("no figure '" + metric + "'");
+      values.push_back(found->second);
+    }
+  return values;
+}
+double mean(const std::vector<double>& values) {
+  double sum = 0;
+  for (const double value : values) sum += value;
+  return values.empty() ? 0 : sum / static_cast<double>(values.size());
+}
+// Of what must never be, the worst day counts; of the rest the mean.
+double of_all(const std::vector<double>& values, const std::string& metric) {
+  constexpr const char* kWorst[] = {"broken_rules", "cold_worst",     "answered_twice",
+                                    "unanswered",   "double_effects", "after_drain",
+                                    "fallen",       "stale",          "out_of_balance"};
+  if (std::find(std::begin(kWorst), std::end(kWorst), metric) == std::end(kWorst) || values.empty())
+    return mean(values);
+  return *std::max_element(values.begin(), values.end());
+}
+
+int run(const options::variables_map& given) {
+  const std::string path = given["file"].as<std::string>();
+  const Experiment experiment = load(path, given.count("quick") > 0);
+  const auto start = std::chrono::steady_clock::now();
+  const auto played = play_with_progress(experiment, given["threads"].as<unsigned>());
+  const double wall = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+  double pulls = 0, events = 0;
+  nlohmann::ordered_json days = nlohmann::ordered_json::array();
+  for (const Played& one : played) {
+    pulls += static_cast<double>(one.day.findings.taken), events += static_cast<double>(one.day.events);
+    nlohmann::ordered_json day = {{"policy", one.policy},
+                                  {"seed", one.seed},
+                                  {"fingerprint", fmt::format("{:016x}", one.day.fingerprint)}};
+    for (const auto& [name, value] : one.figures) day[name] = value;
+    days.push_back(day);
+  }
+  for (const std::string& policy : experiment.policies)
+    fmt::print(
+        "{:<9} utility {:.4f}  completed {:.4f}  hand-offs {:.2f}  origin {:.3f}  p99 {:.3f} s  recovery "
+        "{:.1f} s  broken rules {}\n",
+        policy, mean(column(played, policy, "utility")), mean(column(played, policy, "completed")),
+        mean(column(played, policy, "hand_offs")), mean(column(played, policy, "origin")),
+        mean(column(played, policy, "p99")), mean(column(played, policy, "recovery")),
+        of_all(column(played, policy, "broken_rules"), "broken_rules"));
+  fmt::print(stderr, "{:.0f} pulls decided in {:.2f} s ({:.0f} a second), {:.0f} events\n", pulls, wall,
+             pulls / wall, events);
+  const std::string out = given["out"].as<std::string>(), name = std::filesystem::path(path).stem().string();
+  std::filesystem::create_directories(out);
+  std::ofstream(out + "/" + name + ".json") << days.dump(1) << "\n";
+  write_columns(out + "/" + name + ".h5", played);
+  bool good = !interrupted;
+  for (const Bound& bound : experiment.bounds) {
+    const double value = of_all(column(played, bound.policy, bound.metric), bound.metric);
+    const bool holds = value >= bound.least && value <= bound.most;
+    const bool has_least = bound.least > -1e299;
+    fmt::print("{} {}.{} {:.4f} {}{}\n", holds ? "PASS" : "FAIL", bound.policy, bound.metric, value,
+               has_least ? ">=" : "<=", has_least ? bound.least : bound.most);
+    good = good && holds;
+  }
+  return good ? 0 : 1;
+}
+
+int run_compare(const options::variables_map& given) {
+  Experiment experiment = load(given["file"].as<std::string>(), given.count("quick") > 0);
+  const std::string a = given["a"].as<std::string>(), b = given["b"].as<std::string>(),
+                    metric = given["metric"].as<std::string>();
+  experiment.policies = {a, b};
+  experiment.seeds.clear();
+  for (int i = 1; i <= given["seeds"].as<int>(); ++i)
+    experiment.seeds.push_back(static_cast<std::uint64_t>(i));
+  const auto played = play_with_progress(experiment, given["threads"].as<unsigned>());
+  fmt::print("{}\n", compare(column(played, a, metric), column(played, b, metric)).verdict(a, b, metric));
+  return interrupted ? 1 : 0;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  options::options_description known("options");
+  known.add_options()("help", "print this")("quick", "the short form")(
+      "out", options::value<std::string>()->default_value("out"), "folder for results (run)")(
+      "threads", options::value<unsigned>()->default_value(std::max(1u, std::thread::hardware_concurrency())),
+      "days at once")("a", options::value<std::string>()->default_value("textbook"), "policy (compare)")(
+      "b", options::value<std::string>()->default_value("design"), "policy (compare)")(
+      "metric", options::value<std::string>()->default_value("utility"), "what to compare")(
+      "seeds", options::value<int>()->default_value(12), "paired days (compare)");
+  options::options_description hidden;
+  hidden.add_options()("command", options::value<std::string>())("file", options::value<std::string>());
+  hidden.add(known);
+  options::positional_options_description places;
+  places.add("command", 1).add("file", 1);
+  options::variables_map given;
+  const char* usage =
+      "usage: hareramp-lab run|compare FILE [OPTIONS]\n\n"
+      "run      plays an experiment, prints one line a bound, exits with 1 where one fails\n"
+      "compare  plays two policies on the same days and says whether a figure differs\n\n"
+      "policies: design (the director's own decisions), random, hash, least, two, textbook\n\n";
+  try {
+    options::store(options::command_line_parser(count, words).options(hidden).positional(places).run(),
+                   given);
+    const std::string command = given.count("command") ? given["command"].as<std::string>() : "";
+    if (given.count("help") || !given.count("file") || (command != "run" && command != "compare")) {
+      (given.count("help") ? std::cout : std::cerr) << usage << known;
+      return given.count("help") ? 0 : 2;
+    }
+    return command == "run" ? run(given) : run_compare(given);
+  } catch (const options::error& error) {
+    fmt::print(stderr, "hareramp-lab: {}\n", error.what());
+    return 2;
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "hareramp-lab: {}\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/lab/world/judge.cpp
@@ -0,0 +1,223 @@
+#include "lab/world/judge.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace hareramp::lab {
+
+namespace {
+
+class Design : public Judge {
+ public:
+  Design(Seconds now, const Settings& settings, std::uint64_t seed, Actions& actions)
+      : director_(now, settings, seed, actions) {}
+  void list_starts(Seconds now, ListScope scope) override { director_.list_starts(now, scope); }
+  void list_entry(Seconds now, const NodeId& node, ZoneIndex zone, KindIndex kind, CellIndex cell,
+                  Readiness readiness, double weight, Seconds launched) override {
+    director_.list_entry(now, node, zone, kind, cell, readiness, weight, launched);
+  }
+  void list_ends(Seconds now) override { director_.list_ends(now); }
+  void pull_arrived(Seconds now, const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part,
+                    GroupId group, Seconds hard_stop, double size_kb, bool resent, bool is_write) override {
+    director_.pull_arrived(now, pull, grade, {0}, object, part, group, hard_stop, size_kb, resent, is_write);
+  }
+  void pull_dropped(Seconds now, const PullId& pull) override { director_.pull_dropped(now, pull); }
+  void hand_off_ended(Seconds now, const PullId& pull, HandOffNumber number, const NodeId& node,
+                      Result result, Note note, Seconds waited, Seconds spent, bool pull_over) override {
+    director_.hand_off_ended(now, pull, number, node, result, note, waited, spent, {}, pull_over);
+  }
+  void object_purged(Seconds now, ObjectId object, Seconds age) override {
+    director_.object_purged(now, object, age);
+  }
+  void group_purged(Seconds now, GroupId group, Seconds age) override {
+    director_.group_purged(now, group, age);
+  }
+  void woken(Seconds now, const TimerToken& token) override { director_.woken(now, token); }
+
+ private:
+  Director director_;
+};
+
+// The usual ways of choosing a cache, with the object's first listed parent as source and one retry elsewhere
+// for what may run again. They keep the rules on effects and purges, and no budget for cold nodes.
+class Baseline : public Judge {
+ public:
+  enum class Kind { kRandom, kHash, kLeast, kTwo, kTextbook };
+  Baseline(Kind kind, const Settings& settings, std::uint64_t seed, Actions& actions)
+      : kind_(kind), settings_(settings), actions_(actions), chance_(seed) {
+    here_ = std::atoi(settings_.at("Locality").c_str());
+  }
+
+  void list_starts(Seconds, ListScope) override {}
+  void list_entry(Seconds, const NodeId& node, ZoneIndex zone, KindIndex kind, CellIndex, Readiness readiness,
+                  double, Seconds) override {
+    auto& entry = nodes_[node];
+    entry.zone = zone.value, entry.kind = kind.value;
+    entry.usable = readiness == Readiness::kRunning;
+    if (readiness == Readiness::kGone) nodes_.erase(node);
+  }
+  void list_ends(Seconds) override {}
+
+  void pull_arrived(Seconds now, const PullId& id, GradeIndex grade, ObjectId object, PartNumber part,
+                    GroupId group, Seconds hard_stop, double, bool, bool is_write) override {
+    Pull pull;
+    pull.object = object.value, pull.unit = object.value * 31 + static_cast<std::uint64_t>(part.value);
+    pull.group = group.value, pull.hard_stop = hard_stop, pull.write = is_write;
+    pull.retriable = item("Effect", grade.value) == "retryable";
+    pull.fresh = std::atof(list_item("FamilyInfo.GoodForS", grade.value).c_str());
+    pulls_[id] = pull;
+    try_once(now, id);
+  }
+  void pull_dropped(Seconds, const PullId& id) override { pulls_.erase(id); }
+  void hand_off_ended(Seconds now, const PullId& id, HandOffNumber, const NodeId& node, Result result, Note,
+                      Seconds, Seconds, bool pull_over) override {
+    --out_[node];
+    const auto found = pulls_.find(id);
+    if (found == pulls_.end()) return;
+    if (pull_over || result == Result::kCompleted) {
+      pulls_.erase(found);
+      return;
+    }
+    const bool never_ran = result == Result::kTurnedAway || result == Result::kUnreachable ||
+                           result == Result::kNotSent || result == Result::kAbsent;
+    found->second.may_have_run = found->second.may_have_run || !never_ran;
+    found->second.tried.push_back(node);
+    try_once(now, id);
+  }
+  void object_purged(Seconds now, ObjectId object, Seconds age) override {
+    purged_objects_[object.value] = now - age;
+  }
+  void group_purged(Seconds now, GroupId group, Seconds age) override {
+    purged_groups_[group.value] = now - age;
+  }
+  void woken(Seconds, const TimerToken&) override {}
+
+ private:
+  struct Node {
+    int zone = -1, kind = -1;
+    bool usable = false;
+  };
+  struct Pull {
+    std::uint64_t object = 0, unit = 0;
+    std::int64_t group = 0;
+    Seconds hard_stop = 0, fresh = 0;
+    bool write = false, retriable = false, may_have_run = false;
+    std::vector<NodeId> tried;
+  };
+  std::string item(const char* what, int grade) const {
+    const auto found = settings_.find("RequestClasses." + std::to_string(grade) + "." + what);
+    return found == settings_.end() ? "" : found->second;
+  }
+  std::string list_item(const char* name, int place) const {
+    const auto found = settings_.find(name);
+    if (found == settings_.end()) return "0";
+    std::size_t from = 0;
+    for (; place > 0 && from != std::string::npos; --place) from = found->second.find(',', from) + 1;
+    return found->second.substr(from, found->second.find(',', from) - from);
+  }
+  static std::uint64_t score(const NodeId& node, std::uint64_t key) {
+    return XXH3_64bits_withSeed(node.value.data(), node.value.size(), key);
+  }
+  // The best by hash among those of a kind, or nobody.
+  NodeId by_hash(int kind, std::uint64_t key, const std::vector<NodeId>& without) const {
+    NodeId best;
+    std::uint64_t most = 0;
+    for (const auto& [id, node] : nodes_) {
+      if (!node.usable || node.kind != kind || (kind == 0 && node.zone != here_)) continue;
+      if (std::find(without.begin(), without.end(), id) != without.end()) continue;
+      const std::uint64_t mine = score(id, key);
+      if (best.value.empty() || mine > most) best = id, most = mine;
+    }
+    return best;
+  }
+  NodeId choose_cache(const Pull& pull) {
+    std::vector<NodeId> all;
+    for (const auto& [id, node] : nodes_)
+      if (node.usable && node.kind == 0 && node.zone == here_ &&
+          std::find(pull.tried.begin(), pull.tried.end(), id) == pull.tried.end())
+        all.push_back(id);
+    if (all.empty()) return {};
+    const auto any = [&] {
+      return all[std::uniform_int_distribution<std::size_t>(0, all.size() - 1)(chance_)];
+    };
+    switch (kind_) {
+      case Kind::kRandom:
+        return any();
+      case Kind::kLeast:
+        return *std::min_element(all.begin(), all.end(),
+                                 [&](const NodeId& a, const NodeId& b) { return out_[a] < out_[b]; });
+      case Kind::kTwo: {
+        const NodeId one = any(), two = any();
+        return out_[two] < out_[one] ? two : one;
+      }
+      default:
+        return by_hash(0, pull.unit, pull.tried);
+    }
+  }
+  void try_once(Seconds now, const PullId& id) {
+    Pull& pull = pulls_[id];
+    const bool may = pull.retriable || !pull.may_have_run;
+    const NodeId origin = by_hash(2, 0, {});
+    NodeId node, source;
+    if (may && pull.tried.size() < 3 && now < pull.hard_stop) {
+      node = pull.write ? origin : choose_cache(pull);
+      source = pull.write                                         ? node
+               : kind_ == Kind::kTextbook || kind_ == Kind::kHash ? by_hash(1, pull.object, {})
+                                                                  : by_hash(1, pull.unit, {});
+      if (source.value.empty()) source = origin;
+    }
+    if (node.value.empty()) {
+      const bool harmless = pull.retriable || !pull.may_have_run;
+      pulls_.erase(id);
+      return harmless ? actions_.bounce(id, 1) : actions_.forfeit(id);
+    }
+    FillTerms fill;
+    fill.source = source;
+    fill.rank = pull.write ? 0 : 1;
+    fill.join = true;
+    fill.oldest_copy = pull.fresh;
+    const auto bound = [&](Seconds at) {
+      const Seconds since = std::max(now - at, 1e-5);
+      fill.oldest_copy = fill.oldest_copy > 0 ? std::min(fill.oldest_copy, since) : since;
+    };
+    if (const auto found = purged_objects_.find(pull.object); found != purged_objects_.end())
+      bound(found->second);
+    if (const auto found = purged_groups_.find(pull.group); found != purged_groups_.end())
+      bound(found->second);
+    ++out_[node];
+    actions_.hand_off(id, node, fill, pull.retriable ? (pull.hard_stop - now) / 2 : 0);
+  }
+
+  Kind kind_;
+  Settings settings_;
+  Actions& actions_;
+  std::mt19937_64 chance_;
+  int here_ = 0;
+  std::map<NodeId, Node> nodes_;
+  std::map<NodeId, int> out_;
+  std::map<PullId, Pull> pulls_;
+  std::map<std::uint64_t, Seconds> purged_objects_;
+  std::map<std::int64_t, Seconds> purged_groups_;
+};
+
+}  // namespace
+
+std::unique_ptr<Judge> make_judge(const std::string& kind, Seconds now, const Settings& settings,
+                                  std::uint64_t seed, Actions& actions) {
+  if (kind == "design") return std::make_unique<Design>(now, settings, seed, actions);
+  const std::map<std::string, Baseline::Kind> kinds = {{"random", Baseline::Kind::kRandom},
+                                                       {"hash", Baseline::Kind::kHash},
+                                                       {"least", Baseline::Kind::kLeast},
+                                                       {"two", Baseline::Kind::kTwo},
+                                                       {"textbook", Baseline::Kind::kTextbook}};
+  const auto found = kinds.find(kind);
+  if (found == kinds.end()) return nullptr;
+  return std::make_unique<Baseline>(found->second, settings, seed, actions);
+}
+
+}  // namespace hareramp::lab
--- /dev/null
+++ b/src/lab/world/judge.hpp
@@ -0,0 +1,34 @@
+// Whoever decides in the emulated world: the real Director, or a baseline behind the same calls. Baselines
+// are for comparison in the laboratory only.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "policy.hpp"
+
+namespace hareramp::lab {
+
+class Judge {
+ public:
+  virtual ~Judge() = default;
+  virtual void list_starts(Seconds now, ListScope scope) = 0;
+  virtual void list_entry(Seconds now, const NodeId& node, ZoneIndex zone, KindIndex kind, CellIndex cell,
+                          Readiness readiness, double weight, Seconds launched) = 0;
+  virtual void list_ends(Seconds now) = 0;
+  virtual void pull_arrived(Seconds now, const PullId& pull, GradeIndex grade, ObjectId object,
+                            PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool resent,
+                            bool is_write) = 0;
+  virtual void pull_dropped(Seconds now, const PullId& pull) = 0;
+  virtual void hand_off_ended(Seconds now, const PullId& pull, HandOffNumber number, const NodeId& node,
+                              Result result, Note note, Seconds waited, Seconds spent, bool pull_over) = 0;
+  virtual void object_purged(Seconds now, ObjectId object, Seconds age) = 0;
+  virtual void group_purged(Seconds now, GroupId group, Seconds age) = 0;
+  virtual void woken(Seconds now, const TimerToken& token) = 0;
+};
+
+// kind: design, random, hash, least, two, textbook. Null for another word.
+std::unique_ptr<Judge> make_judge(const std::string& kind, Seconds now, const Settings& settings,
+                                  std::uint64_t seed, Actions& actions);
+
+}  // namespace hareramp::lab
--- a/src/program/operator.cpp
+++ b/src/program/operator.cpp
@@ -5,14 +5,8 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <optional>
-#include <sstream>
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
 
+#include "base/schema.hpp"
 #include "program/config.hpp"
 
 namespace hareramp::program {
@@ -24,102 +18,9 @@
 constexpr std::size_t kLargestFile = 16 << 20;  // bytes; 65,536 networks take 5 MB
 constexpr std::size_t kFlowBytes = 256;         // of one flow in the table, with what leads to it
 
-std::string shown(const json& value) {
-  std::string text = value.is_object() ? "an object" : value.is_array() ? "a list" : value.dump();
-  if (text.size() > 80) text = text.substr(0, 77) + "...";
-  return text;
-}
-
-// What a part of the schema asks for, in words.
-std::string wanted(const json& schema) {
-  if (schema.contains("enum")) {
-    std::string words = "one of";
-    for (const json& one : schema["enum"]) words += (words == "one of" ? " " : ", ") + one.dump();
-    return words;
-  }
-  const std::string type = schema.value("type", "a value");
-  std::string words = type == "integer"   ? "a whole number"
-                      : type == "number"  ? "a number"
-                      : type == "boolean" ? "true or false"
-                      : type == "string"  ? "a text"
-                      : type == "array"   ? "a list"
-                      : type == "object"  ? "an object"
-                                          : type;
-  if (schema.contains("minimum")) words += " from " + schema["minimum"].dump();
-  if (schema.contains("maximum")) words += " to " + schema["maximum"].dump();
-  if (schema.contains("minLength")) words += " of at least " + schema["minLength"].dump() + " characters";
-  if (schema.contains("maxLength")) words += " of at most " + schema["maxLength"].dump() + " characters";
-  if (schema.contains("maxItems")) words += " of at most " + schema["maxItems"].dump() + " entries";
-  if (schema.contains("pattern") && schema.contains("description"))
-    words += ": " + schema["description"].get<std::string>();
-  return words;
-}
-
-// valijson names a place as <root>["a"][0]; here it becomes /a/0, RFC 6901.
-std::string pointer_of(const std::vector<std::string>& context) {
-  std::string pointer;
-  for (std::string part : context) {
-    if (part == "<root>") continue;
-    if (part.size() >= 2 && part.front() == '[' && part.back() == ']') part = part.substr(1, part.size() - 2);
-    if (part.size() >= 2 && part.front() == '"' && part.back() == '"') part = part.substr(1, part.size() - 2);
-    std::string escaped;
-    for (const char c : part) escaped += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
-    pointer += "/" + escaped;
-  }
-  return pointer;
-}
-
 [[noreturn]] void refuse(const std::string& file, const std::string& pointer, const std::string& there,
                          const std::string& asked) {
-  throw BadConfig(
-      fmt::format("{}: at {}: found {}; wanted {}", file, pointer.empty() ? "/" : pointer, there, asked));
-}
-
-// The first thing that is wrong, from the outermost error's innermost place.
-[[noreturn]] void tell(const json& schema, const json& document, const std::string& file,
-                       valijson::ValidationResults& results) {
-  valijson::ValidationResults::Error error, deepest;
-  while (results.popError(error))
-    if (error.context.size() > deepest.context.size() ||
-        (error.context.size() == deepest.context.size() && deepest.description.empty()))
-      deepest = error;
-  const std::string pointer = pointer_of(deepest.context);
-  const json& value = document.at(json::json_pointer(pointer));
-  const json* part = &schema;
-  std::istringstream steps(pointer);
-  for (std::string step; std::getline(steps, step, '/');) {
-    if (step.empty()) continue;
-    if (part->contains("items") && step.find_first_not_of("0123456789") == std::string::npos)
-      part = &(*part)["items"];
-    else if (part->contains("properties") && (*part)["properties"].contains(step))
-      part = &(*part)["properties"][step];
-  }
-  if (value.is_object() && part->contains("properties")) {
-    for (const auto& [key, member] : value.items())
-      if (!(*part)["properties"].contains(key)) {
-        std::string known;
-        for (const auto& [name, ignored] : (*part)["properties"].items())
-          known += (known.empty() ? "" : ", ") + name;
-        refuse(file, pointer + "/" + key, "an unknown key", "one of " + known);
-      }
-    if (part->contains("required"))
-      for (const json& name : (*part)["required"])
-        if (!value.contains(name.get<std::string>()))
-          refuse(file, pointer + "/" + name.get<std::string>(), "nothing",
-                 wanted((*part)["properties"][name.get<std::string>()]));
-  }
-  refuse(file, pointer, shown(value), wanted(*part));
-}
-
-void validate(const json& document, const std::string& file) {
-  const json schema_json = json::parse(kOperatorSchema);
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  valijson::adapters::NlohmannJsonAdapter schema_adapter(schema_json), document_adapter(document);
-  parser.populateSchema(schema_adapter, schema);
-  valijson::Validator validator(valijson::Validator::kStrongTypes);
-  valijson::ValidationResults results;
-  if (!validator.validate(schema, document_adapter, &results)) tell(schema_json, document, file, results);
+  throw BadConfig(SchemaSlip{pointer, there, asked}.line(file));
 }
 
 template <class Value>
@@ -192,7 +93,7 @@
   } catch (const json::parse_error& error) {
     throw BadConfig(fmt::format("{}: not JSON: {}", file, error.what()));
   }
-  validate(document, file);
+  if (const auto slip = first_slip(json::parse(kOperatorSchema), document)) throw BadConfig(slip->line(file));
   OperatorFile out;
   const json empty = json::object();
   const json& log = document.contains("log") ? document["log"] : empty;
