--- a/experiments/rig/world.cpp
+++ b/experiments/rig/world.cpp
@@ -216,7 +216,8 @@
 }
 
 Task<> Client::one(Client& self, double due) {
-  if (co_await self.ask(false)) self.latencies_.push_back(Scheduler::now() - due);
+  const bool answered = co_await self.ask(false);
+  if (answered) self.latencies_.push_back(Scheduler::now() - due);
   self.busy_ = false;
 }
 
--- a/src/flow/exporter.cpp
+++ b/src/flow/exporter.cpp
@@ -59,15 +59,19 @@
   struct Sent {
     std::uint64_t end = 0;  // of the session's bytes
     MessageNumber number = 0;
+    Seconds at = 0;
     std::uint32_t flows = 0;
     std::uint64_t packets = 0, octets = 0;
   };
   std::deque<Sent> unacknowledged;
   std::uint64_t written = 0;
 
-  void forget_acknowledged() {
+  // Acknowledged by the kernel is not taken in by the collector: what was sent since that time is kept.
+  void forget_acknowledged(Seconds sent_before) {
     const std::uint64_t sure = written - std::min<std::uint64_t>(written, stream.unacknowledged());
-    while (!unacknowledged.empty() && unacknowledged.front().end <= sure) unacknowledged.pop_front();
+    while (!unacknowledged.empty() && unacknowledged.front().end <= sure &&
+           unacknowledged.front().at <= sent_before)
+      unacknowledged.pop_front();
   }
 };
 
@@ -228,6 +232,7 @@
   settings_.idle_timeout = settings.idle_timeout;
   settings_.template_resend = settings.template_resend;
   settings_.template_resend_messages = settings.template_resend_messages;
+  settings_.resend = settings.resend;
   settings_.collectors = settings.collectors;
   settings_.networks = settings.networks;
   table_.set_times(settings_.active_timeout, settings_.idle_timeout);
@@ -420,8 +425,8 @@
     return std::all_of(streams_.begin(), streams_.end(), [](const auto& stream) {
       if (stream->spooled && stream->to_disk < stream->backlog.end()) return false;
       return std::all_of(stream->receivers.begin(), stream->receivers.end(), [&](const auto& receiver) {
-        if (receiver->session && receiver->session->stream.open()) receiver->session->forget_acknowledged();
-        return receiver->floor() + 1 >= stream->backlog.end() && receiver->cursor >= stream->backlog.end();
+        const bool all_taken = !receiver->session || receiver->session->stream.unacknowledged() == 0;
+        return all_taken && receiver->cursor >= stream->backlog.end();
       });
     });
   };
@@ -650,7 +655,7 @@
   Session& session = *receiver.session;
   const bool datagrams = session.datagrams.has_value();
   if (!datagrams) {
-    session.forget_acknowledged();
+    session.forget_acknowledged(now() - settings_.resend);
     if (session.stream.ended()) {
       lost(stream, receiver, "it has closed");
       co_return true;
@@ -702,7 +707,7 @@
       co_return true;
     }
     session.unacknowledged.push_back(
-        {session.written, receiver.cursor, message->flows, message->packets, message->octets});
+        {session.written, receiver.cursor, now(), message->flows, message->packets, message->octets});
   }
   ++counters_.flow_messages_sent;
   ++receiver.cursor;
--- a/src/flow/settings.hpp
+++ b/src/flow/settings.hpp
@@ -40,7 +40,7 @@
   std::size_t flows_most = 0, message_bytes = 0, queue_bytes = 0;
   SpoolSettings spool;
   // taken by a reload too
-  double active_timeout = 0, idle_timeout = 0, template_resend = 0;
+  double active_timeout = 0, idle_timeout = 0, template_resend = 0, resend = 0;
   std::size_t template_resend_messages = 0;
   std::vector<CollectorSettings> collectors;
   std::shared_ptr<const Networks> networks;  // never null
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -90,7 +90,8 @@
   take(document, "title", experiment.title);
   experiment.plan.world = read_world(document.value("world", json::object()));
   experiment.plan.load = read_load(document["load"]);
-  take(document, "lasts_s", experiment.plan.lasts), take(document, "sample_s", experiment.plan.sample);
+  take(document, "lasts_s", experiment.plan.lasts), take(document, "sample_s", experiment.plan.sample),
+      take(document, "settles_s", experiment.plan.settles);
   for (const json& one : document.value("faults", json::array())) {
     FaultPlan fault;
     take(one, "kind", fault.kind), take(one, "at_s", fault.at), take(one, "lasts_s", fault.lasts);
--- a/src/lab/world/plan.hpp
+++ b/src/lab/world/plan.hpp
@@ -64,6 +64,7 @@
   LoadPlan load;
   std::vector<FaultPlan> faults;
   Seconds lasts = 20, sample = 1;
+  Seconds settles = 0;  // pulls of the first seconds are played and audited, and not counted for utility
 };
 
 }  // namespace hareramp::lab
--- a/src/program/operator.cpp
+++ b/src/program/operator.cpp
@@ -55,6 +55,7 @@
   out.message_bytes = or_else<std::size_t>(object, "message_bytes", 1400);
   out.template_resend = or_else(object, "template_resend_s", 60.0);
   out.template_resend_messages = or_else<std::size_t>(object, "template_resend_messages", 1000);
+  out.resend = or_else(object, "resend_s", 0.0);
   out.queue_bytes = or_else<std::size_t>(object, "queue_kb", 4096) * 1024;
   const json& collectors = object.contains("collectors") ? object["collectors"] : empty;
   for (std::size_t i = 0; i < collectors.size(); ++i) {
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -144,6 +144,7 @@
 
 int serve(const Config& config, const std::string& path, const std::string& operator_path, Log& log) {
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGXFSZ, SIG_IGN);  // a file at its limit is a write that fails, not an end
   const OperatorFile operator_file = load_operator(operator_path, config.memory);
   log.use(operator_file.log_form, operator_file.log_level);
   Service(config, path, operator_file, operator_path, log).run();
