Decisions without looking through the fleet or the settings for each pull; none differs

Change: settings become figures at the start, nodes are sorted by kind when the list changes, a pull keeps its caches and parents in hash order until then.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -137,6 +137,8 @@
   int first_node = kNobody, looks = 0;
   std::vector<HandOff> offs;
   std::vector<int> bad_nodes, bad_sources;
+  mutable std::vector<int> caches, parents;  // by the hash, as the list stood at that turn of it
+  mutable std::uint64_t caches_turn = 0, parents_turn = 0;
   int out() const {
     return static_cast<int>(std::count_if(offs.begin(), offs.end(), [](const HandOff& h) { return h.out; }));
   }
@@ -182,6 +184,7 @@
       grades.push_back(grade);
     }
     here = static_cast<int>(number("Locality", 0));
+    read_permissions();
     parent_kind = static_cast<int>(number("FamilyInfo.ShieldKind", -1));
     origin_kind = static_cast<int>(number("FamilyInfo.OriginKind", -1));
     flow = number("FamilyInfo.StreamKbPerS", 0);
@@ -209,16 +212,50 @@
     return found.empty() ? fallback : found;
   }
 
+  // Read once: a look-up by name for each question of each pull was most of what a pull cost.
+  void read_permissions() {
+    for (const auto& [name, value] :
+         std::initializer_list<std::pair<const char*, bool*>>{{"FamilyInfo.CanJoin", &can_join},
+                                                              {"FamilyInfo.Direct", &direct},
+                                                              {"Permissions.Cancel", &may_cancel},
+                                                              {"Permissions.SecondCopies", &second_copies},
+                                                              {"Permissions.RetryAfter", &may_advise}})
+      *value = allowed(name);
+    max_attempts = number("Permissions.MaxAttempts", 1);
+    most_advice = std::min(kComeBack, number("Permissions.MaxRetryAfterS", 0));
+    period = number("PeriodS", 0.001);
+    purge_done = number("FamilyInfo.PurgeDoneS", 10) + 1;
+    parent_warms = number("FamilyInfo.ParentWarmsInS", 20), cache_warms = number("Contract.ColdS", 20);
+    parent_from = number("FamilyInfo.ParentColdFrom", 0.05),
+    cache_from = number("Contract.StartCapacity", 0.1);
+    fall_span = number("Contract.FallS", 3);
+    parent_limit = number("FamilyInfo.ParentLimitFactor", 2),
+    cache_limit = number("Contract.FallMultiple", 2);
+    cache_sharers = std::max(1.0, std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str()));
+    sharers_of_all = std::max(1.0, number("Balancers", 4));
+    peers_fill = text("FamilyInfo.PeersFill", "none") != "none";
+    tells_all = text("FamilyInfo.Tells", "none") == "all";
+    const std::string weights = text("Weights", "none");
+    weights_drift = weights == "live", weights_unknown = weights == "none" || weights_drift;
+  }
+
   // --- nodes ---
   bool is_parent(int n) const { return kind[n] == parent_kind; }
   bool is_origin(int n) const { return kind[n] == origin_kind; }
   int count() const { return static_cast<int>(name.size()); }
   bool is_cache_kind(int n) const { return !is_parent(n) && !is_origin(n); }
   bool is_cache(int n) const { return is_cache_kind(n) && zone[n] == here; }
-  int origin() const {
-    const auto found = std::find(kind.begin(), kind.end(), origin_kind);
-    return found == kind.end() ? kNobody : static_cast<int>(found - kind.begin());
+  int origin() const { return origin_node; }
+  // Whenever a node or its kind or place changes: nobody goes through the whole fleet for a pull.
+  void sort_out_kinds() {
+    ++list_turn, all_parents.clear(), own_caches.clear(), origin_node = kNobody;
+    for (int n = 0; n < count(); ++n) {
+      if (is_parent(n)) all_parents.push_back(n);
+      if (is_cache(n)) own_caches.push_back(n);
+      if (is_origin(n) && origin_node == kNobody) origin_node = n;
+    }
   }
+  const std::vector<int>& of_kind(bool parents) const { return parents ? all_parents : own_caches; }
   bool is_out(int n) const { return out_since[n] > kLongAgo; }
 
   // Arrays grow only while no place of a node that is long gone (sweep) can be had.
@@ -239,14 +276,12 @@
   }
 
   // Sizes that drift with load would move every home; there all count alike.
-  double hash_weight(int n) const {
-    return text("Weights", "none") == "live" ? 1 : std::max(weight[n], 1e-3);
-  }
+  double hash_weight(int n) const { return weights_drift ? 1 : std::max(weight[n], 1e-3); }
 
   std::vector<int> by_hash(std::uint64_t key, bool parents) const {
     std::vector<std::pair<double, int>> scored;
-    for (int n = 0; n < count(); ++n) {
-      if (!listed[n] || !(parents ? is_parent(n) : is_cache(n))) continue;
+    for (const int n : of_kind(parents)) {
+      if (!listed[n]) continue;
       scored.emplace_back(-std::log(unit_draw(key ^ hash[n])) / hash_weight(n), n);
     }
     std::sort(scored.begin(), scored.end());
@@ -254,14 +289,20 @@
     for (const auto& [score, n] : scored) order.push_back(n);
     return order;
   }
+  const std::vector<int>& caches_for(const Pull& p) const {
+    if (std::exchange(p.caches_turn, list_turn) != list_turn) p.caches = by_hash(p.unit, false);
+    return p.caches;
+  }
+  const std::vector<int>& parents_for(const Pull& p) const {
+    if (std::exchange(p.parents_turn, list_turn) != list_turn) p.parents = by_hash(mix(p.object), true);
+    return p.parents;
+  }
 
   // --- the design: three bands, for siblings and parents alike ---
   Average pooled(const std::vector<Average>& figures, bool parents) const {
     Average pool;
-    for (int n = 0; n < count(); ++n) {
-      if (!figures[n].heard() || (parents ? !is_parent(n) : !is_cache(n))) continue;
-      pool.add(0, figures[n].mean(), 1);
-    }
+    for (const int n : of_kind(parents))
+      if (figures[n].heard()) pool.add(0, figures[n].mean(), 1);
     return pool;
   }
 
@@ -283,20 +324,14 @@
   }
 
   // --- budgets: guards against pushing over what has just started ---
-  Seconds warms_in(int n) const {
-    return is_parent(n) ? number("FamilyInfo.ParentWarmsInS", 20) : number("Contract.ColdS", 20);
-  }
+  Seconds warms_in(int n) const { return is_parent(n) ? parent_warms : cache_warms; }
   bool cold(int n) const { return !is_origin(n) && now - launched[n] < warms_in(n); }
 
   // In transfers at full pace, where the list tells it.
-  double full_capacity(int n) const {
-    const std::string meaning = text("Weights", "none");
-    return meaning == "none" || meaning == "live" ? kUnknownLink : weight[n];
-  }
+  double full_capacity(int n) const { return weights_unknown ? kUnknownLink : weight[n]; }
   double present_capacity(int n) const {
     const double full = full_capacity(n);
-    const double from =
-        is_parent(n) ? number("FamilyInfo.ParentColdFrom", 0.05) : number("Contract.StartCapacity", 0.1);
+    const double from = is_parent(n) ? parent_from : cache_from;
     const double warmed = std::clamp((now - launched[n]) / warms_in(n), 0.0, 1.0);
     return full * (from + (1 - from) * warmed);
   }
@@ -306,9 +341,8 @@
   // safe without a word between them; it costs speed where one director has most of the traffic.
   bool has_budget(int n, double work) {
     if (!cold(n)) return true;
-    const Seconds span = number("Contract.FallS", 3);
-    const double limit =
-        is_parent(n) ? number("FamilyInfo.ParentLimitFactor", 2) : number("Contract.FallMultiple", 2);
+    const Seconds span = fall_span;
+    const double limit = is_parent(n) ? parent_limit : cache_limit;
     double used = 0;
     std::erase_if(ledger[n], [&](const auto& entry) { return entry.first <= now - span; });
     for (const auto& entry : ledger[n]) used += entry.second;
@@ -324,10 +358,7 @@
   // How many of our transfers a node may hold at once, so that each ends well within its contract time. It
   // starts from the listed weight and follows what is measured, whatever slows the node down.
   double first_room(int n) const { return std::max(1.0, kCrowd * full_capacity(n) / sharers(n)); }
-  double sharers(int n) const {
-    return std::max(1.0, is_cache_kind(n) ? std::atof(item("FamilyInfo.SeatsByZone", here, "2").c_str())
-                                          : number("Balancers", 4));
-  }
+  double sharers(int n) const { return is_cache_kind(n) ? cache_sharers : sharers_of_all; }
   // Pulls earn alike, whatever their size: small ones find more room and draw better lots.
   double extra(const Pull& p) { return std::clamp(all_sends.mean() / send_time(p), 1 / kSizes, kSizes); }
   bool has_room(const Pull& p, int n) { return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p); }
@@ -386,9 +417,7 @@
   bool is_crowded(const Pull& p, Seconds spent) {
     return spent - send_time(p) > kTight * (contract_time(p) - send_time(p));
   }
-  bool hand_offs_left(const Pull& p) const {
-    return static_cast<double>(p.offs.size()) < number("Permissions.MaxAttempts", 1);
-  }
+  bool hand_offs_left(const Pull& p) const { return static_cast<double>(p.offs.size()) < max_attempts; }
 
   // Rule 2: a fingerprinted pull that may have run stays in the group that knows the repeat, in its window.
   bool may_go_to(const Pull& p, int n) {
@@ -403,11 +432,11 @@
 
   // The design's spread: what passes a quarter of its home's rate. An unheard home counts as average.
   bool is_hot(const Pull& p, double bytes) {
-    const std::vector<int> order = by_hash(p.unit, false);
+    const std::vector<int>& order = caches_for(p);
     if (order.empty()) return false;
     double sum = 0, caches = 0;
-    for (int n = 0; n < count(); ++n)
-      if (is_cache(n) && serve_rate[n].heard()) sum += serve_rate[n].per_second(now), ++caches;
+    for (const int n : own_caches)
+      if (serve_rate[n].heard()) sum += serve_rate[n].per_second(now), ++caches;
     double rate = serve_rate[order[0]].per_second(now);
     if (rate <= 0 && caches > 0) rate = sum / caches;
     return rate > 0 && bytes / kHotSpan > kHotShare * rate;
@@ -443,7 +472,7 @@
     const double work = mean_send(p);
     std::vector<int> top;
     int asked = 0;
-    for (const int n : by_hash(p.unit, false)) {
+    for (const int n : caches_for(p)) {
       if (asked == kTop) break;
       if (!running[n] || holds(p.bad_nodes, n) || !may_go_to(p, n) || !has_budget(n, work)) continue;
       if (is_out(n)) {
@@ -491,10 +520,10 @@
 
   // The design's companion: a spread object is filled from the other of the hash's top two.
   Way spread_way(const Pull& p) {
-    if (!p.hot || text("FamilyInfo.PeersFill", "none") == "none") return {};
+    if (!p.hot || !peers_fill) return {};
     const Way way = choose_cache(p);
     if (!way || way.trial != kNobody) return {};
-    const std::vector<int> order = by_hash(p.unit, false);
+    const std::vector<int>& order = caches_for(p);
     for (std::size_t i = 0; i < std::min<std::size_t>(2, order.size()); ++i) {
       const int n = order[i];
       if (n == way.node || !can_give(p, n) || is_out(n)) continue;
@@ -507,7 +536,7 @@
   // All other fills, and retries after a sibling miss: the object's first kept parent by the hash.
   int choose_parent(const Pull& p, int& trial) {
     if (!is_write(p) && !link_open(p)) return kNobody;
-    for (const int n : by_hash(mix(p.object), true)) {
+    for (const int n : parents_for(p)) {
       if (!can_give(p, n)) continue;
       if (!is_out(n) && kept(n)) {
         if (source_room(p, n)) return n;
@@ -520,8 +549,8 @@
   // The origin is asked only when no parent is kept. One that is kept but crowded, or that has just refused,
   // does not count: the crowd would only move on to the origin, which all parents need.
   bool any_parent_kept(const Pull& p) {
-    for (int n = 0; n < count(); ++n)
-      if (is_parent(n) && running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p))) return true;
+    for (const int n : all_parents)
+      if (running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p))) return true;
     return false;
   }
   Way parent_way(const Pull& p) {
@@ -548,8 +577,8 @@
   // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
   Way look_way(const Pull& p) {
     if (p.hot || p.in_vain || p.looks >= kLooks) return {};
-    if (allowed("FamilyInfo.CanJoin")) {
-      const std::vector<int> parents = by_hash(mix(p.object), true);
+    if (can_join) {
+      const std::vector<int>& parents = parents_for(p);
       if (parents.empty() || !cold(parents[0])) return {};
     }
     if (p.looks > 0 && !p.under_way) return {};
@@ -558,7 +587,7 @@
   }
   // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
   Way straight_way(const Pull& p) {
-    if (!allowed("FamilyInfo.Direct") || choose_cache(p)) return {};
+    if (!direct || choose_cache(p)) return {};
     Way way;
     way.node = choose_parent(p, way.trial);
     if (way.node == kNobody) way.node = choose_origin(p);
@@ -570,8 +599,7 @@
   // A write is never kept: no hierarchy can serve it. It takes the way with the fewest parts that can fail.
   Way write_way(const Pull& p) {
     const int origin = choose_origin(p);
-    if (origin != kNobody && allowed("FamilyInfo.Direct") && may_go_to(p, origin))
-      return {origin, origin, kNobody};
+    if (origin != kNobody && direct && may_go_to(p, origin)) return {origin, origin, kNobody};
     Way way = choose_cache(p);
     way.source = origin;
     return way ? way : parent_way(p);
@@ -596,11 +624,11 @@
     const FillTerms fill = {.source = name[way.source],
                             .rank = rank,
                             .oldest_copy = oldest_copy(p),
-                            .join = allowed("FamilyInfo.CanJoin"),
+                            .join = can_join,
                             .held_only = is_parent(way.source) && !origin_open(p),
                             .renew = grade_of(p).fresh > 0};
     const bool repeatable = grade_of(p).effect == Effect::kRetriable;
-    const bool call_back = allowed("Permissions.SecondCopies") || allowed("Permissions.Cancel");
+    const bool call_back = second_copies || may_cancel;
     if (p.out() == 0 && !p.may_have_run) p.first_node = way.node, p.first_ran = now;
     p.offs.push_back(off);
     p.overdue = false;
@@ -616,7 +644,7 @@
   bool idle(const Pull& p) { return owed(p) && p.out() == 0 && now >= p.resume_at; }
   bool ready(const Pull& p) {
     if (!owed(p) || !hand_offs_left(p) || !time_for_another(p)) return false;
-    return idle(p) || (p.overdue && p.out() == 1 && allowed("Permissions.SecondCopies"));
+    return idle(p) || (p.overdue && p.out() == 1 && second_copies);
   }
   bool is_write(const Pull& p) { return p.write || grade_of(p).through; }
 
@@ -624,7 +652,7 @@
   void forget(Pull& p) { pulls.erase(PullId(p.id)); }
 
   bool has_leftovers(const Pull& p) {
-    if (!p.over || !allowed("Permissions.Cancel")) return false;
+    if (!p.over || !may_cancel) return false;
     return std::any_of(p.offs.begin(), p.offs.end(), [](const HandOff& h) { return h.out && !h.cancelled; });
   }
   void call_off(Pull& p) {
@@ -635,7 +663,7 @@
     }
   }
 
-  bool time_is_up(const Pull& p) { return owed(p) && now >= p.hard_stop - number("PeriodS", 0.001); }
+  bool time_is_up(const Pull& p) { return owed(p) && now >= p.hard_stop - period; }
   void forfeit(Pull& p) { p.over = true, actions.forfeit(p.id); }
 
   // Rule 2: a binding pull that may have run gets no further hand-off, and no promise; nor does a
@@ -654,8 +682,7 @@
     if (!harmless) return forfeit(p);
     p.over = true;
     const double draw = std::uniform_real_distribution<double>(0.5, 1)(chance);
-    const Seconds most = std::min(kComeBack, number("Permissions.MaxRetryAfterS", 0));
-    actions.bounce(p.id, allowed("Permissions.RetryAfter") ? draw * most : 0);
+    actions.bounce(p.id, may_advise ? draw * most_advice : 0);
   }
 
   template <Way (Mind::*way)(const Pull&)>
@@ -724,12 +751,11 @@
         }
         if (by_origin) measure_origin(false, off.sent);
         // Only full notes tell whether a parent held it; a sibling gives nothing else than what it holds.
-        if (is_cache_kind(s) || text("FamilyInfo.Tells", "none") == "all")
-          held_share[s].add(now, note == Note::kFilled ? 1 : 0, 1);
+        if (is_cache_kind(s) || tells_all) held_share[s].add(now, note == Note::kFilled ? 1 : 0, 1);
         break;
       }
       case Result::kAbsent:
-        if (!asked && note == Note::kJoined && !allowed("FamilyInfo.CanJoin") && p.looks < kLooks &&
+        if (!asked && note == Note::kJoined && !can_join && p.looks < kLooks &&
             p.hard_stop - now > kLookAgain + expected(p))
           p.under_way = true, wait(p, kLookAgain);
         if (!asked) break;
@@ -804,7 +830,7 @@
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
     if (!suspect(p, off)) return;
-    if (allowed("Permissions.SecondCopies")) {
+    if (second_copies) {
       p.overdue = true;
     } else if (time_for_another(p) && hand_offs_left(p)) {
       off.cancelled = true;
@@ -819,8 +845,7 @@
   }
   void sweep() {
     std::erase_if(units, [&](const auto& entry) { return now - entry.second.at > kRemember; });
-    const Seconds done = number("FamilyInfo.PurgeDoneS", 10) + 1;
-    const auto over = [&](const auto& entry) { return now - entry.second > done; };
+    const auto over = [&](const auto& entry) { return now - entry.second > purge_done; };
     std::erase_if(object_purges, over), std::erase_if(group_purges, over);
     // Guards against ids that keep coming: a gone node is forgotten once nothing of it is out and its budget
     // is past. It hurts nobody: should the id come back, it counts as just started.
@@ -828,6 +853,7 @@
       if (!listed[n] && out_here[n] + out_from[n] == 0 &&
           now - std::max(launched[n], heard_at[n]) > kRemember)
         index.erase(name[n].value), name[n] = NodeId(), zone[n] = kind[n] = -1;
+    sort_out_kinds();
     actions.wake(now + kSweepEvery, {"sweep"});
   }
 
@@ -837,7 +863,14 @@
   std::knuth_b chance;
   Seconds now;
   std::vector<Grade> grades;
-  int here = 0, parent_kind = -1, origin_kind = -1;
+  int here = 0, parent_kind = -1, origin_kind = -1, origin_node = kNobody;
+  bool can_join = false, direct = false, may_cancel = false, second_copies = false, may_advise = false;
+  bool peers_fill = false, tells_all = false, weights_drift = false, weights_unknown = false;
+  double max_attempts = 1, parent_from = 0, cache_from = 0, parent_limit = 2, cache_limit = 2;
+  double cache_sharers = 1, sharers_of_all = 1;
+  Seconds most_advice = 0, period = 0, purge_done = 0, parent_warms = 0, cache_warms = 0, fall_span = 0;
+  std::uint64_t list_turn = 1;
+  std::vector<int> all_parents, own_caches;
   double flow = 0, link_part = 1, origin_part = 1, spare_fills = kSaved;
   Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo;
   ListScope scope = ListScope::kCached;
@@ -900,6 +933,7 @@
   m.zone[n] = zone.value, m.kind[n] = kind.value, m.cell[n] = cell.value, m.weight[n] = weight;
   m.listed[n] = m.fresh[n] = readiness != Readiness::kGone;
   m.running[n] = readiness == Readiness::kRunning;
+  m.sort_out_kinds();
   if (m.room[n] <= 0) m.room[n] = m.first_room(n);
   // What comes up without a start time may have started this moment.
   if (launched > 0 || (newly && m.running[n])) m.started(n, launched > 0 ? launched : now);
@@ -910,6 +944,7 @@
   const bool whole = m.scope == ListScope::kFull || m.scope == ListScope::kCached;
   for (int n = 0; n < m.count(); ++n)
     if (whole && !m.fresh[n]) m.listed[n] = m.running[n] = false;  // rule 3: missing from a full list is gone
+  m.sort_out_kinds();
 }
 
 void Director::pull_arrived(Seconds now, const PullId& id, GradeIndex grade, TenantIndex, ObjectId object,
