--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -421,7 +421,7 @@
     }
     const GradePlan& of = plan_.load.grades[pull.grade];
     // An object has one size, whoever asks.
-    std::mt19937_64 own(pull.object ^ pull.grade);
+    std::minstd_rand own(static_cast<std::uint32_t>(hashed(pull.object, pull.grade)));
     pull.size_kb = of.size_kb * std::exp(std::normal_distribution<double>(0, of.spread)(own));
     pull.group = static_cast<int>(pull.object % static_cast<std::uint64_t>(plan_.load.groups));
     take(pull);
