--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -24,7 +24,7 @@
 
 constexpr Seconds kServe = 0.0005;  // s that a node takes to look a unit up
 constexpr Seconds kStart = 1000;    // s: the clock at the start; 0 means "long ago" to a director
-constexpr int kKinds = 3;           // cache, parent, origin
+constexpr Seconds kPurgeDone = 6;   // s within which nodes drop what was purged
 
 enum class What : std::uint8_t {
   kArrival,     // the next pull of the load
@@ -41,7 +41,8 @@
   kFault,       // a fault begins or ends
   kRestart,     // a node that fell is back
   kSample,
-  kRetry  // a bounced client asks again
+  kRetry,  // a bounced client asks again
+  kDrop    // a node drops the older copies of what was purged
 };
 
 struct Event {
@@ -60,6 +61,7 @@
   struct Copy {
     Seconds given_out = 0;  // by the origin
     int rank = 0;
+    std::uint64_t object = 0;
     std::list<std::uint64_t>::iterator place;
   };
   const Copy* find(std::uint64_t unit) {
@@ -69,7 +71,7 @@
     order.splice(order.end(), order, found->second.place);
     return &found->second;
   }
-  void keep(std::uint64_t unit, int rank, Seconds given_out) {
+  void keep(std::uint64_t unit, int rank, Seconds given_out, std::uint64_t object) {
     rank = std::clamp(rank, 0, 3);
     erase(unit);
     while (copies_.size() >= most_) {
@@ -79,7 +81,7 @@
       lowest->pop_front();
     }
     auto& order = by_rank_[static_cast<std::size_t>(rank)];
-    copies_[unit] = {given_out, rank, order.insert(order.end(), unit)};
+    copies_[unit] = {given_out, rank, object, order.insert(order.end(), unit)};
   }
   void erase(std::uint64_t unit) {
     const auto found = copies_.find(unit);
@@ -87,6 +89,18 @@
     by_rank_[static_cast<std::size_t>(found->second.rank)].erase(found->second.place);
     copies_.erase(found);
   }
+  template <class Meant>
+  void drop(Seconds given_out_before, const Meant& meant) {
+    for (auto at = copies_.begin(); at != copies_.end();) {
+      const Copy& copy = at->second;
+      if (copy.given_out < given_out_before && meant(copy.object)) {
+        by_rank_[static_cast<std::size_t>(copy.rank)].erase(copy.place);
+        at = copies_.erase(at);
+      } else {
+        ++at;
+      }
+    }
+  }
   void clear() {
     copies_.clear();
     for (auto& order : by_rank_) order.clear();
@@ -340,7 +354,7 @@
                     {"FamilyInfo.ParentLimitFactor", fmt::format("{}", w.fall_multiple)},
                     {"FamilyInfo.ParentWarmsInS", fmt::format("{}", w.warms)},
                     {"FamilyInfo.PeersFill", w.siblings ? "location" : "none"},
-                    {"FamilyInfo.PurgeDoneS", "6"},
+                    {"FamilyInfo.PurgeDoneS", fmt::format("{}", kPurgeDone)},
                     {"FamilyInfo.SeatsByZone", seats},
                     {"FamilyInfo.StreamKbPerS", fmt::format("{}", w.flow_kb_per_s)},
                     {"FamilyInfo.Tells", "all"},
@@ -674,14 +688,14 @@
       --from.held;
       Node& parent = nodes_[attempt.source];
       if (parent.life != attempt.source_life || !parent.up) return;
-      parent.memory.keep(attempt.unit, 1, attempt.copy_at);
+      parent.memory.keep(attempt.unit, 1, attempt.copy_at, attempt.object);
       return transfer(attempt.source, attempt);
     }
     if (from.life == attempt.source_life) --from.held;
     attempt.at_source = false;
     if (!there(attempt)) return;
     Node& node = nodes_[attempt.node];
-    if (attempt.rank > 0) node.memory.keep(attempt.unit, attempt.rank, attempt.copy_at);
+    if (attempt.rank > 0) node.memory.keep(attempt.unit, attempt.rank, attempt.copy_at, attempt.object);
     std::vector<std::uint64_t> waiting;
     if (const auto fill = node.fills.find(attempt.unit); fill != node.fills.end()) {
       waiting = std::move(fill->second);
@@ -873,6 +887,10 @@
       const auto rank = std::uniform_int_distribution<std::uint64_t>(
           0, static_cast<std::uint64_t>(std::min(200.0, plan_.load.objects)) - 1)(chance_);
       purges_.push_back({fault.kind == "purge_group", rank, when});
+      // The nodes hear of it in their own way, and have dropped older copies within PurgeDoneS.
+      for (std::uint32_t n = 0; n < nodes_.size(); ++n)
+        at(when + kPurgeDone * std::uniform_real_distribution<double>(0.3, 0.9)(chance_), What::kDrop, n,
+           purges_.size() - 1);
       for (const auto& host : hosts_)
         at(when + plan_.world.purge_lag * std::uniform_real_distribution<double>(0.5, 1.5)(chance_),
            What::kPurgeTold, host->number_, purges_.size() - 1);
@@ -883,6 +901,17 @@
     std::uint64_t rank = 0;
     Seconds at = 0;
   };
+  void drop_purged(Node& node, const Purge& purge) {
+    const auto group = purge.rank % static_cast<std::uint64_t>(plan_.load.groups);
+    const std::uint64_t object = object_of(purge);
+    node.memory.drop(purge.at, [&](std::uint64_t one) {
+      return purge.group ? one % static_cast<std::uint64_t>(plan_.load.groups) == group : one == object;
+    });
+  }
+  std::uint64_t object_of(const Purge& purge) const {
+    const double phase = static_cast<double>(hashed(purge.rank, seed_) % 1000) / 1000;
+    return hashed(purge.rank, 1 + static_cast<std::uint64_t>(purge.at / plan_.load.life + phase));
+  }
   void purge_told(Host& host, const Purge& purge) {
     if (purge.group) {
       const int group = static_cast<int>(purge.rank % static_cast<std::uint64_t>(plan_.load.groups));
@@ -890,9 +919,7 @@
       if (mutant_ != Mutant::kIgnoresPurge) host.judge->group_purged(now_, {group}, now_ - purge.at);
       return;
     }
-    const double phase = static_cast<double>(hashed(purge.rank, seed_) % 1000) / 1000;
-    const std::uint64_t object =
-        hashed(purge.rank, 1 + static_cast<std::uint64_t>(purge.at / plan_.load.life + phase));
+    const std::uint64_t object = object_of(purge);
     host.objects_purged[object] = {purge.at, now_};
     if (mutant_ != Mutant::kIgnoresPurge) host.judge->object_purged(now_, {object}, now_ - purge.at);
   }
@@ -942,6 +969,8 @@
       case What::kSample:
         if (event.a == 1) return forget(event.b);
         return take_sample();
+      case What::kDrop:
+        return drop_purged(nodes_[event.a], purges_[event.b]);
       case What::kRetry: {
         auto [pull, first] = retries_.extract(event.b).mapped();
         ++pull.retries;
