--- a/tests/flow/export_test.cpp
+++ b/tests/flow/export_test.cpp
@@ -29,13 +29,13 @@
 // A director in front of two caches and the origin, with folders of its own.
 class Scene {
  public:
-  explicit Scene(rig::NodeWays ways = {}) {
+  explicit Scene(rig::NodeWays ways = {}, const char* listen_at = "127.0.0.1:0") {
     folder = files::temp_directory_path() / "hareramp-flows-XXXXXX";
     REQUIRE(mkdtemp(folder.data()) != nullptr);
     const std::map<std::string, std::size_t> sizes = {{"clip", 200000}, {"segment", 3000}, {"note", 50}};
     for (unsigned i = 0; i < 3; ++i)
       nodes.push_back(std::make_unique<rig::Node>(scheduler, sizes, ways, i + 1));
-    listen = nobody(scheduler);
+    listen = nobody(scheduler, listen_at);
     collector_at = nobody(scheduler);
     rig::Site site;
     site.listen = listen.text(), site.change_log = changes.address().text();
@@ -52,7 +52,7 @@
   void operators(const std::string& collectors, const std::string& more = "") {
     std::ofstream(folder + "/operator.json") << fmt::format(
         R"({{"flow_export":{{"enabled":true,"active_timeout_s":0.05,"idle_timeout_s":0.2,"template_resend_s":1,
-        "collectors":[{}],"networks":[{{"prefix":"127.0.0.2/32","depot":"north"}},{{"prefix":"127.0.0.0/8","depot":"rest"}}]{}}}}})",
+        "collectors":[{}],"networks":[{{"prefix":"127.0.0.2/32","depot":"north"}},{{"prefix":"127.0.0.0/8","depot":"rest"}},{{"prefix":"::1/128","depot":"six"}}]{}}}}})",
         collectors, more);
   }
   std::string collector(const char* transport = "tcp", const char* more = "") const {
@@ -134,7 +134,10 @@
   std::map<std::string, Sums> counted() const {
     std::map<std::string, Sums> all;
     for (std::size_t i = 0; i < clients.size(); ++i) {
-      Sums& sum = all[std::string(from_of[i] == "127.0.0.2" ? "north " : "rest ") + grade_of[i]];
+      Sums& sum = all[std::string(from_of[i] == "127.0.0.2" ? "north "
+                                  : from_of[i] == "[::1]"   ? "six "
+                                                            : "rest ") +
+                      grade_of[i]];
       const rig::Tally& tally = clients[i]->tally();
       sum.out += tally.octets.sent, sum.in += tally.octets.received, sum.pulls += tally.asked;
       sum.packets_out += tally.segments.sent, sum.packets_in += tally.segments.received;
@@ -308,6 +311,23 @@
   for (const auto& [key, sum] : scene.counted()) CHECK(after.at(key).out == sum.out);
 }
 
+TEST_CASE("over IPv6, and with the first of two collectors away: the second gets everything, once") {
+  Scene scene({}, "[::1]:0");
+  scene.collect();
+  scene.operators(fmt::format(R"({{"address":"{}","transport":"tcp","mode":"failover"}},{})",
+                              nobody(scene.scheduler).text(),
+                              scene.collector("tcp", R"(,"mode":"failover")")));
+  scene.start();
+  for (int i = 0; i < 3; ++i) scene.client("[::1]", "segment").start(20, 0.01);
+  scene.client("[::1]", "note").start(10, 0.01);
+  scene.all_done();
+  scene.stop();
+  scene.settle();
+  check_octets(scene);
+  CHECK(scene.director->counters()["collectors_failed"] > 0);
+  CHECK(scene.collecting->decoded().lost == 0);
+}
+
 TEST_CASE("a disk that is full costs the spool, not the export and not a pull") {
   Scene scene;
   scene.collect();
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -259,8 +259,8 @@
 }
 
 // An address at which nobody listens.
-inline transport::Address nobody(transport::Scheduler& scheduler) {
-  return transport::Listener(scheduler, *transport::Address::parse("127.0.0.1:0"), 1).address();
+inline transport::Address nobody(transport::Scheduler& scheduler, const char* at = "127.0.0.1:0") {
+  return transport::Listener(scheduler, *transport::Address::parse(at), 1).address();
 }
 
 }  // namespace hareramp
