--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/program_options.hpp>
 #include <chrono>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -14,6 +15,7 @@
 #include <thread>
 
 #include "lab/experiment.hpp"
+#include "lab/hunt.hpp"
 
 using namespace hareramp::lab;
 namespace options = boost::program_options;
@@ -139,6 +141,37 @@
   return interrupted ? 1 : 0;
 }
 
+// The worst day found, as faults for an experiment's file.
+int run_hunt(const options::variables_map& given) {
+  const Experiment experiment = load(given);
+  const std::string policy = given["b"].as<std::string>();
+  HuntSettings settings;
+  settings.days = given["days"].as<std::size_t>();
+  settings.threads = given["threads"].as<unsigned>();
+  settings.seed = given["hunt-seed"].as<std::uint64_t>();
+  const Hunted found = hunt(experiment.plan, settings, [&](const Plan& plan) {
+    const Day day = play(plan, policy, experiment.seeds.front());
+    return 10 * metrics(plan, day).at("broken_rules") + 1 - day.utility;
+  });
+  nlohmann::ordered_json faults = nlohmann::ordered_json::array();
+  for (const FaultPlan& one : found.faults)
+    faults.push_back({{"kind", one.kind},
+                      {"at_s", one.at},
+                      {"lasts_s", one.lasts},
+                      {"nodes", one.nodes},
+                      {"first", one.first},
+                      {"count", one.count},
+                      {"factor", one.factor},
+                      {"rate", one.rate}});
+  fmt::print("{}\n", nlohmann::ordered_json{{"faults", faults}}.dump(1));
+  fmt::print(
+      stderr,
+      "{} days played; without faults {:.4f} is lost, on this day {:.4f}{}; {} of {} faults keep it so bad\n",
+      found.days, found.calm, std::fmod(found.badness, 10), found.badness >= 10 ? ", with rules broken" : "",
+      found.faults.size(), found.faults_at_first);
+  return found.badness >= 10 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -148,6 +181,8 @@
       "threads", options::value<unsigned>()->default_value(std::max(1u, std::thread::hardware_concurrency())),
       "days at once")("a", options::value<std::string>()->default_value("textbook"), "policy (compare)")(
       "b", options::value<std::string>()->default_value("design"), "policy (compare)")(
+      "days", options::value<std::size_t>()->default_value(300), "budget of days (hunt)")(
+      "hunt-seed", options::value<std::uint64_t>()->default_value(1), "of the schedules drawn (hunt)")(
       "metric", options::value<std::string>()->default_value("utility"), "what to compare")(
       "set", options::value<std::vector<std::string>>()->composing()->value_name("POINTER=JSON"),
       "what is to differ from the file, as in /world/directors=30")(
@@ -159,19 +194,21 @@
   places.add("command", 1).add("file", 1);
   options::variables_map given;
   const char* usage =
-      "usage: hareramp-lab run|compare FILE [OPTIONS]\n\n"
+      "usage: hareramp-lab run|compare|hunt FILE [OPTIONS]\n\n"
       "run      plays an experiment, prints one line a bound, exits with 1 where one fails\n"
-      "compare  plays two policies on the same days and says whether a figure differs\n\n"
+      "compare  plays two policies on the same days and says whether a figure differs\n"
+      "hunt     draws schedules of faults, keeps the worst day for policy --b and shrinks it\n\n"
       "policies: design (the director's own decisions), random, hash, least, two, textbook\n\n";
   try {
     options::store(options::command_line_parser(count, words).options(hidden).positional(places).run(),
                    given);
     const std::string command = given.count("command") ? given["command"].as<std::string>() : "";
-    if (given.count("help") || !given.count("file") || (command != "run" && command != "compare")) {
+    if (given.count("help") || !given.count("file") ||
+        (command != "run" && command != "compare" && command != "hunt")) {
       (given.count("help") ? std::cout : std::cerr) << usage << known;
       return given.count("help") ? 0 : 2;
     }
-    return command == "run" ? run(given) : run_compare(given);
+    return command == "run" ? run(given) : command == "hunt" ? run_hunt(given) : run_compare(given);
   } catch (const options::error& error) {
     fmt::print(stderr, "hareramp-lab: {}\n", error.what());
     return 2;
--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -158,6 +158,7 @@
   std::uint32_t life = 0;  // counts restarts: what was out before is lost
   int held = 0;            // hand-offs and fills here now
   std::deque<std::pair<Seconds, double>> cold_work;
+  std::vector<std::uint64_t> purges;                          // whose older copies it has dropped
   std::map<std::uint64_t, std::vector<std::uint64_t>> fills;  // unit: hand-offs that wait for it
 };
 
@@ -312,6 +313,7 @@
                           .memory = Memory(static_cast<std::size_t>(plan.units)),
                           .link = FairLink(plan.slots * plan_.world.flow_kb_per_s, plan_.world.flow_kb_per_s),
                           .cold_work = {},
+                          .purges = {},
                           .fills = {}});
   }
   void build_nodes() {
@@ -688,14 +690,14 @@
       --from.held;
       Node& parent = nodes_[attempt.source];
       if (parent.life != attempt.source_life || !parent.up) return;
-      parent.memory.keep(attempt.unit, 1, attempt.copy_at, attempt.object);
+      keep(parent, attempt, 1);
       return transfer(attempt.source, attempt);
     }
     if (from.life == attempt.source_life) --from.held;
     attempt.at_source = false;
     if (!there(attempt)) return;
     Node& node = nodes_[attempt.node];
-    if (attempt.rank > 0) node.memory.keep(attempt.unit, attempt.rank, attempt.copy_at, attempt.object);
+    if (attempt.rank > 0) keep(node, attempt, attempt.rank);
     std::vector<std::uint64_t> waiting;
     if (const auto fill = node.fills.find(attempt.unit); fill != node.fills.end()) {
       waiting = std::move(fill->second);
@@ -877,6 +879,9 @@
         if (Attempt* attempt = held(id)) attempt->out = false;
     });
     host.timers.clear();
+    // It knows of the purges told from now on only; nodes drop the older copies of those before within
+    // kPurgeDone.
+    host.objects_purged.clear(), host.groups_purged.clear();
     start_director(host);
   }
   // Purges at a rate over the fault's time, told to each director at its own moment.
@@ -901,12 +906,23 @@
     std::uint64_t rank = 0;
     Seconds at = 0;
   };
-  void drop_purged(Node& node, const Purge& purge) {
-    const auto group = purge.rank % static_cast<std::uint64_t>(plan_.load.groups);
-    const std::uint64_t object = object_of(purge);
-    node.memory.drop(purge.at, [&](std::uint64_t one) {
-      return purge.group ? one % static_cast<std::uint64_t>(plan_.load.groups) == group : one == object;
-    });
+  bool meant_by(const Purge& purge, std::uint64_t object) const {
+    const auto groups = static_cast<std::uint64_t>(plan_.load.groups);
+    return purge.group ? object % groups == purge.rank % groups : object == object_of(purge);
+  }
+  void drop_purged(Node& node, std::uint64_t number) {
+    const Purge& purge = purges_[number];
+    node.memory.drop(purge.at, [&](std::uint64_t object) { return meant_by(purge, object); });
+    node.purges.push_back(number);
+  }
+  // A node that has dropped the older copies of something takes none back from one that has not yet: by way
+  // of a director that knows nothing of the purge, such a copy would outlive it.
+  void keep(Node& node, const Attempt& attempt, int rank) {
+    std::erase_if(node.purges,
+                  [&](std::uint64_t number) { return purges_[number].at + 2 * kPurgeDone < now_; });
+    for (const std::uint64_t number : node.purges)
+      if (attempt.copy_at < purges_[number].at && meant_by(purges_[number], attempt.object)) return;
+    node.memory.keep(attempt.unit, rank, attempt.copy_at, attempt.object);
   }
   std::uint64_t object_of(const Purge& purge) const {
     const double phase = static_cast<double>(hashed(purge.rank, seed_) % 1000) / 1000;
@@ -970,7 +986,7 @@
         if (event.a == 1) return forget(event.b);
         return take_sample();
       case What::kDrop:
-        return drop_purged(nodes_[event.a], purges_[event.b]);
+        return drop_purged(nodes_[event.a], event.b);
       case What::kRetry: {
         auto [pull, first] = retries_.extract(event.b).mapped();
         ++pull.retries;
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -2,9 +2,11 @@
 // broken on purpose.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 
 #include "lab/experiment.hpp"
+#include "lab/hunt.hpp"
 #include "lab/world/auditor.hpp"
 #include "lab/world/link.hpp"
 #include "lab/world/world.hpp"
@@ -148,6 +150,36 @@
   hareramp::check_trace("lab_mutants", trace);
 }
 
+TEST_CASE("the hunt finds what is bad, shrinks to it, and finds it again") {
+  Plan plan = small();
+  // Bad is a slow parent and a burst at one time; everything else is noise.
+  const Badness badness = [](const Plan& played) {
+    const auto has = [&](const char* kind, const char* nodes) {
+      return std::any_of(played.faults.begin(), played.faults.end(), [&](const FaultPlan& one) {
+        return one.kind == kind && (*nodes == 0 || one.nodes == nodes);
+      });
+    };
+    return 0.1 + 0.5 * has("slow", "parent") * has("burst", "") +
+           0.001 * static_cast<double>(played.faults.size());
+  };
+  HuntSettings settings;
+  settings.days = 600, settings.threads = 2;
+  const Hunted found = hunt(plan, settings, badness);
+  CHECK(found.badness > 0.6);
+  CHECK(found.faults.size() == 2);
+  CHECK(found.faults_at_first > 2);
+  CHECK(found.days <= 600);
+  const Hunted again = hunt(plan, settings, badness);
+  REQUIRE(again.faults.size() == 2);
+  CHECK(again.faults[0].at == found.faults[0].at);
+  for (std::uint64_t seed = 0; seed < 50; ++seed)
+    for (const FaultPlan& one : draw_schedule(plan, 6, seed)) {
+      CHECK(one.first >= 0);
+      CHECK(one.count >= 1);
+      CHECK(one.at + one.lasts <= plan.lasts);
+    }
+}
+
 TEST_CASE("differences: seen where there is one, and not where there is none") {
   const std::vector<double> a = {0.5, 0.6, 0.55, 0.52, 0.58}, b = {0.6, 0.7, 0.66, 0.61, 0.69},
                             c = {0.51, 0.59, 0.56, 0.51, 0.585};
