A collector whose disk is full goes on collecting and counts what it could not keep

Cause: a row or commit that SQLite refused ended the coroutine that takes datagrams, or the one that commits, for good. Change: such a failure is counted (not_kept), a refused commit is rolled back, collecting goes on.

--- a/src/flows_tool/archive.cpp
+++ b/src/flows_tool/archive.cpp
@@ -116,7 +116,13 @@
     if (!std::exchange(changing, true)) database.run("BEGIN IMMEDIATE");
   }
   void commit() {
-    if (std::exchange(changing, false)) database.run("COMMIT");
+    if (!std::exchange(changing, false)) return;
+    try {
+      database.run("COMMIT");
+    } catch (...) {  // nothing of it is kept, and the next transaction can begin
+      sqlite3_exec(database.raw(), "ROLLBACK", nullptr, nullptr, nullptr);
+      throw;
+    }
   }
   void write_name(const NameKey& key, const std::string& name) {
     add_name.bind(1, std::get<0>(key)).bind(2, std::int64_t{std::get<1>(key)});
--- a/src/flows_tool/collector.cpp
+++ b/src/flows_tool/collector.cpp
@@ -49,7 +49,7 @@
 Task<> Collector::commit(Collector& self, double every) {
   for (;;) {
     co_await self.scheduler_.sleep_until(Scheduler::now() + every);
-    self.archive_.commit(transport::Clock::unix_now());
+    self.keep([&] { self.archive_.commit(transport::Clock::unix_now()); });
   }
 }
 
@@ -118,14 +118,30 @@
   rows_.record(head, values, scope);
 }
 void Collector::message_ends(const MessageHead&) { archive_.end(); }
-void Collector::flow(const MessageHead&, const FlowRow& row) { archive_.flow(row); }
-void Collector::name(const MessageHead&, const NameRow& row) { archive_.name(row); }
+// Guards against a disk that takes nothing: a row that can't be kept is counted, and collecting goes on. The
+// message it belongs to is then kept in part.
+template <class Write>
+void Collector::keep(const Write& write) {
+  try {
+    write();
+  } catch (const std::exception&) {
+    ++counts_.not_kept;
+  }
+}
+void Collector::flow(const MessageHead&, const FlowRow& row) {
+  keep([&] { archive_.flow(row); });
+}
+void Collector::name(const MessageHead&, const NameRow& row) {
+  keep([&] { archive_.name(row); });
+}
 void Collector::not_sent(const MessageHead& head, const NotSentRow& row) {
-  archive_.not_sent(row);
+  keep([&] { archive_.not_sent(row); });
   const std::string key = fmt::format("{}/{} {}", exporter_, head.domain, row.collector);
   if (not_sent_.size() < kExportersHeard || not_sent_.contains(key)) not_sent_[key] = row;
 }
-void Collector::exporter(const MessageHead&, double started, std::uint64_t) { archive_.run_started(started); }
+void Collector::exporter(const MessageHead&, double started, std::uint64_t) {
+  keep([&] { archive_.run_started(started); });
+}
 
 std::string Collector::counts_line() const {
   const DecoderCounts& d = decoder_.counts();
@@ -137,11 +153,12 @@
       "too_many={} "
       "sessions={} sessions_forgotten={} datagrams={} connections={} refused={} closed_bad={} "
       "partitions_removed={} "
-      "too_far={} archive_failed={}",
+      "too_far={} archive_failed={} not_kept={}",
       d.messages, d.records, a.flows, a.duplicates, d.lost, d.out_of_order, d.restarts, d.no_template,
       d.templates, d.redefined, d.withdrawn, d.bad_version, d.bad_length, d.bad_set, d.bad_template,
       d.bad_record, d.too_many, decoder_.sessions(), d.sessions_forgotten, counts_.datagrams,
-      counts_.connections, counts_.refused, counts_.closed_bad, a.removed, a.too_far, a.failed);
+      counts_.connections, counts_.refused, counts_.closed_bad, a.removed, a.too_far, a.failed,
+      counts_.not_kept);
 }
 
 }  // namespace hareramp::flows_tool
--- a/src/flows_tool/collector.hpp
+++ b/src/flows_tool/collector.hpp
@@ -15,7 +15,7 @@
 namespace hareramp::flows_tool {
 
 struct CollectorCounts {
-  std::uint64_t datagrams = 0, connections = 0, refused = 0, closed_bad = 0;
+  std::uint64_t datagrams = 0, connections = 0, refused = 0, closed_bad = 0, not_kept = 0;
 };
 
 class Collector : private Reader, private RowHandler {
@@ -37,6 +37,8 @@
   void pause(bool paused) { paused_ = paused; }
 
  private:
+  template <class Write>
+  void keep(const Write& write);
   bool message(const MessageHead& head) override;
   void record(const MessageHead& head, std::uint16_t, const std::vector<Value>& values,
               std::size_t scope) override;
