--- a/experiments/rig/process.cpp
+++ b/experiments/rig/process.cpp
@@ -1,6 +1,7 @@
 #include "rig/process.hpp"
 
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,7 +12,8 @@
 
 namespace hareramp::rig {
 
-Process::Process(const std::string& program, const std::vector<std::string>& words) {
+Process::Process(const std::string& program, const std::vector<std::string>& words,
+                 const std::map<std::string, std::string>& variables, std::uint64_t descriptors) {
   path_ = std::filesystem::temp_directory_path() / "hareramp-rig-XXXXXX";
   const int file = mkstemp(path_.data());
   std::vector<std::string> all = {program};
@@ -20,8 +22,11 @@
   if (child_ == 0) {
     for (const char* known : {"EDGE_NAME", "EDGE_LISTEN", "EDGE_CONFIG", "HARERAMP_OPERATOR"})
       unsetenv(known);
+    for (const auto& [key, value] : variables) setenv(key.c_str(), value.c_str(), 1);
     dup2(file, 1), dup2(file, 2);
     for (int other = 3; other < 1024; ++other) ::close(other);
+    const rlimit most{descriptors, descriptors};
+    if (descriptors > 0) setrlimit(RLIMIT_NOFILE, &most);
     std::vector<char*> raw;
     for (std::string& word : all) raw.push_back(word.data());
     raw.push_back(nullptr);
--- a/experiments/rig/process.hpp
+++ b/experiments/rig/process.hpp
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -11,11 +12,15 @@
 
 class Process {
  public:
-  Process(const std::string& program, const std::vector<std::string>& words);
+  // Variables of the director's that this process has are taken away, those given are set; descriptors: how
+  // many it may hold at most, 0 leaves that as it is.
+  Process(const std::string& program, const std::vector<std::string>& words,
+          const std::map<std::string, std::string>& variables = {}, std::uint64_t descriptors = 0);
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  pid_t id() const { return child_; }
   void send(int signal);
   bool ended();
   int status() const;  // the exit status, or 1000 and the signal that ended it
--- a/tests/program/program_test.cpp
+++ b/tests/program/program_test.cpp
@@ -1,14 +1,12 @@
 // The program as operators start it: its command line, a start that fails, and the way it leaves.
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/resource.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <filesystem>
 
 #include "helpers.hpp"
 #include "program/config.hpp"
+#include "rig/process.hpp"
 
 using namespace hareramp;
 using transport::Scheduler;
@@ -21,57 +19,11 @@
   return mkstemp(path.data());
 }
 
-// A process of ours, with what it prints.
-class Process {
- public:
-  Process(std::vector<std::string> words, const std::map<std::string, std::string>& variables,
-          rlim_t descriptors = 0) {
-    const int file = temporary(path_);
-    child_ = fork();
-    if (child_ == 0) {
-      for (const char* known : {"EDGE_NAME", "EDGE_LISTEN", "EDGE_CONFIG"}) unsetenv(known);
-      for (const auto& [key, value] : variables) setenv(key.c_str(), value.c_str(), 1);
-      dup2(file, 1), dup2(file, 2);
-      for (int other = 3; other < 256; ++other) ::close(other);
-      const rlimit most{descriptors, descriptors};
-      if (descriptors > 0) setrlimit(RLIMIT_NOFILE, &most);
-      std::vector<char*> raw;
-      static std::string binary = HARERAMP_BINARY;
-      raw.push_back(binary.data());
-      for (auto& word : words) raw.push_back(word.data());
-      raw.push_back(nullptr);
-      execv(binary.c_str(), raw.data());
-      _exit(127);
-    }
-    ::close(file);
-  }
-  Process(const Process&) = delete;
-  ~Process() {
-    if (!ended()) {
-      kill(child_, SIGKILL);
-      waitpid(child_, nullptr, 0);
-    }
-    std::filesystem::remove(path_);
-  }
-  bool ended() {
-    if (!ended_) ended_ = waitpid(child_, &status_, WNOHANG) == child_;
-    return ended_;
-  }
-  // Its exit status, or 1000 and the signal that ended it.
-  int status() const { return WIFEXITED(status_) ? WEXITSTATUS(status_) : 1000 + WTERMSIG(status_); }
-  void send(int signal) { kill(child_, signal); }
-  std::string printed() const {
-    std::ifstream file(path_);
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-  }
-
- private:
-  std::string path_;
-  pid_t child_ = -1;
-  int status_ = 0;
-  bool ended_ = false;
+// The director as a process of ours.
+struct Process : rig::Process {
+  Process(const std::vector<std::string>& words, const std::map<std::string, std::string>& variables,
+          std::uint64_t descriptors = 0)
+      : rig::Process(HARERAMP_BINARY, words, variables, descriptors) {}
 };
 
 // Runs to its end; what it printed and its status.
