The killed collector's test waits until something was committed before it kills

Cause: the check that duplicates were seen failed in one of three runs on busy cores. Seen: with a commit each 30 s in place of 0.25 s it fails every time, so a collector killed before its first commit leaves nothing that could come twice; ruled out: the exporter, whose octets were right in those runs too. tests/flow/export_test.cpp killed after a count of pulls, whatever the collector had committed, and what was sent more than 3 s before the kill was not sent again. Now it waits for a committed record first, and messages of the last 60 s are sent again.

--- a/tests/flow/export_test.cpp
+++ b/tests/flow/export_test.cpp
@@ -130,6 +130,16 @@
                                                            line.records};
     return all;
   }
+  // Of the archive as another process has committed it so far; there may be none yet.
+  std::uint64_t records_kept() const {
+    try {
+      std::uint64_t records = 0;
+      for (const auto& [key, sum] : sums({By::kPart})) records += sum.records;
+      return records;
+    } catch (const std::exception&) {
+      return 0;
+    }
+  }
   // What the clients counted, by depot and grade.
   std::map<std::string, Sums> counted() const {
     std::map<std::string, Sums> all;
@@ -257,7 +267,7 @@
 
 TEST_CASE("a collecting process killed and started anew in the middle: each octet is counted, and once") {
   Scene scene;
-  scene.operators(scene.collector(), R"(,"resend_s":3)");
+  scene.operators(scene.collector(), R"(,"resend_s":60)");
   const std::vector<std::string> words = {
       "collect", "--archive", scene.folder + "/archive", "--tcp", scene.collector_at.text(), "--udp", "off"};
   auto collector = std::make_unique<rig::Process>(HARERAMP_FLOWS, words);
@@ -266,6 +276,8 @@
   for (int i = 0; i < 5; ++i) scene.client("127.0.0.2", "segment").start(80, 0.01);
   for (const std::uint64_t asked : {20u, 45u}) {
     REQUIRE(runs_until(scene.scheduler, [&] { return scene.clients[0]->tally().asked > asked; }));
+    // What it had committed comes again after its end and must not count twice: so there has to be some.
+    REQUIRE(runs_until(scene.scheduler, [&] { return scene.records_kept() > 0; }));
     collector->send(SIGKILL);
     REQUIRE(runs_until(scene.scheduler, [&] { return collector->ended(); }));
     collector = std::make_unique<rig::Process>(HARERAMP_FLOWS, words);
