A connection on which a node has only turned pulls away is not used again

Ruled out: the object (the same object was taken elsewhere), the zone, the size, the time. A node that takes more connections than it serves turns away all that comes on those too many, and src/routing/peer.cpp (choose_link) went on with the same idle connection for up to 10 s. Now such a connection is retired unless something else has ever been answered on it, and counted (links_turned_away). The test fails without the mend: the connection stays.

--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -37,6 +37,7 @@
   COUNT(links_broken, "connections to nodes that ended with work out")               \
   COUNT(links_idle, "connections to nodes closed as idle")                           \
   COUNT(links_doubted, "connections to nodes given up as silent")                    \
+  COUNT(links_turned_away, "connections that only heard of a full node")             \
   COUNT(links_stalled, "connections to nodes given up in the middle of an answer")   \
   COUNT(moved_on, "hand-offs that went on, unsent, from a connection that ended")    \
   COUNT(late_answers, "answers to what was no longer wanted")                        \
--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -28,6 +28,12 @@
     }
     peer.counters_.bytes_filled += body.size();
     peer.book(*this, open.at(pull), result, note, parser.answer_bytes());
+    // Guards against a node that takes more connections than it serves and turns away whatever comes on those
+    // too many, for as long as they stand: what comes next goes out on another. Also meets a node that is
+    // full; there it costs a connection set up anew until one has been served.
+    const bool turned_away = result == Result::kTurnedAway && note == Note::kNone;
+    if (turned_away && !served && !std::exchange(retiring, true)) ++peer.counters_.links_turned_away;
+    served = served || !turned_away;
     if (result != Result::kCompleted) remember(pull);  // it may come again, and its answer may come twice
     peer.end(self.lock(), pull, result, note, waited, report,
              Content{same_copy, std::string(tag), std::string(body), note});
@@ -58,6 +64,7 @@
   std::deque<Piece> out;
   std::size_t out_sent = 0;  // bytes of the first piece that are written
   bool draining = false, retiring = false, doubted = false;
+  bool served = false;  // the node has answered something on it but that it is full
   std::map<PullId, Open> open;
   std::set<PullId> heard_of;  // given up or answered, but not completed: an answer may still come
   std::deque<std::pair<Seconds, PullId>> heard_of_at;
--- a/tests/routing/peer_test.cpp
+++ b/tests/routing/peer_test.cpp
@@ -299,3 +299,27 @@
   CHECK(pair.desk.links == 3);
   check_trace("peer_limits", pair.desk.trace);
 }
+
+TEST_CASE("a connection that is only turned away is not used again; one that has been served is") {
+  Pair pair;
+  pair.desk.hand_off("p1");
+  pair.until_heard("serve p1");
+  pair.node.ends[0]->send("p1 AGAIN - 0\r\n\r\n");
+  REQUIRE(runs_until(pair.desk.scheduler, [&] { return pair.node.ends[0]->ended; }));
+  CHECK(pair.desk.counters.links_turned_away == 1);
+  pair.desk.hand_off("p1", 1);
+  REQUIRE(runs_until(pair.desk.scheduler, [&] { return pair.node.heard_all("serve p1", 1); }));
+  pair.node.ends[1]->send("p1 NOENT why=absent 0\r\n\r\n");
+  pair.desk.until(2);
+  for (const char* pull : {"p2", "p3"}) {
+    pair.desk.hand_off(pull);
+    pair.until_heard(std::string("serve ") + pull, 1);
+    pair.node.ends[1]->send(std::string(pull) + " AGAIN - 0\r\n\r\n");
+  }
+  pair.desk.until(4);
+  CHECK(pair.node.ends.size() == 2);
+  CHECK_FALSE(pair.node.ends[1]->ended);
+  CHECK(pair.desk.counters.links_turned_away == 1);
+  CHECK(pair.desk.trace ==
+        "p1/0 at c1: turned away\np1/1 at c1: absent\np2/0 at c1: turned away\np3/0 at c1: turned away\n");
+}
