The origin's and the link's parts follow their cause; homes taken over fill from siblings

Change: the origin's part grows by time, is cut by the wait for it, not by a single refusal; the link's part moves in proportion; while its cache is cold a unit is filled from the next by the hash, the parent follows a miss; no second parent while the origin is slow. Tried, taken back: caches late more often than their peers passed over, the cache blamed in place of the parent, fewer saved repeats.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -47,28 +47,32 @@
 constexpr double kLinkFull = 2.5;      // transfers for each that fits a location's link at a fill's pace
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
 constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;       // transfers: more room after one in good time, at a node near its limit
-constexpr double kGrowFirst = 0.5;  // transfers: the same until its first crowd: nothing may tell of a link
-constexpr double kNearLimit = 0.7;  // of its room in use: below it a good answer proves nothing
-constexpr double kSizes = 2.5;      // x the mean sending time, or a part of it: beyond, size counts no more
-constexpr double kLinkCut = 0.8;    // x: the part of pulls that may fill, at each report of a full link
-constexpr double kLinkGrow = 0.2;   // of the pulls: more of them at each report of a link with room
+constexpr double kGrow = 0.1;        // transfers: more room after one in good time, at a node near its limit
+constexpr double kGrowFirst = 0.5;   // transfers: the same until its first crowd: nothing may tell of a link
+constexpr double kNearLimit = 0.7;   // of its room in use: below it a good answer proves nothing
+constexpr double kSizes = 2.5;       // x the mean sending time, or a part of it: beyond, size counts no more
+constexpr double kLinkCut = 0.5;     // x: the most that one report of a full link takes off the part of pulls
+constexpr double kLinkGrow = 0.2;    // of the pulls: that many more may fill at a report of an empty link
+constexpr double kLinkLeast = 0.05;  // of the pulls: fewer would leave the caches behind it cold for good
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
 constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
-constexpr double kOriginGrow = 0.02;  // of the pulls: more of them after an answer in good time
-constexpr Seconds kOriginCalm = 3.0;  // s without a failure there: after each, twice as many may reach it
-constexpr double kOriginLeast = 0.05;  // of the pulls: fewer would not tell when the origin is back
-constexpr double kEarned = 0.2;        // further fills that one good fill earns: what retries may add at most
-constexpr double kSaved = 5;           // further fills saved up: enough for the first moments of a failure
-constexpr Seconds kPause = 0.1;        // s: about so long before a write turned away asks the origin again
-constexpr Seconds kComeBack = 1.0;     // s: advice to a bounced client, drawn from half of it upwards
-constexpr Seconds kListAgain = 1.0;    // s: before following the list anew after a failure
-constexpr Seconds kRemember = 30.0;    // s: how long an object counts as asked for before
-constexpr Seconds kSweepEvery = 5.0;   // s: between sweeps of what is no longer needed
-constexpr Seconds kLeastAge = 1e-5;    // s: an age bound must never round to 0, which means any age
-constexpr int kTop = 2;                // caches by the hash that a pull may go to when others are crowded
+constexpr double kOriginGrow = 0.3;   // of the pulls a second: more of them while it answers in good time
+constexpr Seconds kOriginCalm = 1.0;  // s without a failure there: after each, twice as many may reach it
+constexpr double kOriginSlow = 3.0;   // x the usual wait for it: more shows a crowd before it refuses
+constexpr double kOriginDeepest = 0.3;  // x: the most that one slow answer cuts
+constexpr Seconds kLeastWait = 0.02;    // s: waits under this tell of the way there, not of a crowd
+constexpr double kOriginLeast = 0.05;   // of the pulls: fewer would not tell when the origin is back
+constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
+constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
+constexpr Seconds kPause = 0.1;       // s: about so long before a write turned away asks the origin again
+constexpr Seconds kComeBack = 1.0;    // s: advice to a bounced client, drawn from half of it upwards
+constexpr Seconds kListAgain = 1.0;   // s: before following the list anew after a failure
+constexpr Seconds kRemember = 30.0;   // s: how long an object counts as asked for before
+constexpr Seconds kSweepEvery = 5.0;  // s: between sweeps of what is no longer needed
+constexpr Seconds kLeastAge = 1e-5;   // s: an age bound must never round to 0, which means any age
+constexpr int kTop = 2;               // caches by the hash that a pull may go to when others are crowded
 
 constexpr int kNobody = -1;
 constexpr Seconds kLongAgo = -1e9;
@@ -502,10 +506,25 @@
   // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail
   // there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
   bool origin_open(const Pull& p) { return is_write(p) || p.lot <= origin_part; }
-  void measure_origin(bool crowded, Seconds sent) {
-    if (!crowded) origin_part = std::min(1.0, origin_part + kOriginGrow);
-    if (!crowded || sent <= origin_cut_at) return;
-    origin_part = std::max(kOriginLeast, kOriginCut * origin_part), origin_cut_at = origin_calm_at = now;
+  // It grows by time, not by answers: where a director hears of the origin only now and then, a cut outlived
+  // its cause by many seconds. Many answers do not make it grow faster, so that a busy director takes
+  // nobody's part.
+  void measure_origin(double keep, Seconds sent) {
+    if (keep >= 1) {
+      const Seconds since = std::min(1.0, now - std::max(origin_heard, origin_cut_at));
+      origin_part = std::min(1.0, origin_part + kOriginGrow * since), origin_heard = now;
+    }
+    if (keep >= 1 || sent <= origin_cut_at) return;
+    origin_part = std::max(kOriginLeast, keep * origin_part), origin_cut_at = origin_calm_at = now;
+  }
+  // Guards against a queue at the origin that grows for seconds before the first refusal, while every late
+  // fill is tried behind another parent too. Meets a slow origin as well; it hurts where waits vary by
+  // nature.
+  double origin_pace(Seconds waited) {
+    const double most = kOriginSlow * std::max(usual_wait.mean(), kLeastWait);
+    if (waited > 0 && usual_wait.weight >= 2 && waited > most) return std::max(kOriginDeepest, most / waited);
+    if (waited > 0) usual_wait.add(now, waited, 1);
+    return 1;
   }
   // The objects let through are held before long; only others show that the origin is well again.
   void calm_origin() {
@@ -518,12 +537,16 @@
   }
   bool source_room(const Pull& p, int n) { return in_use(n) < room[n] * extra(p); }
 
-  // The design's companion: a spread object is filled from the other of the hash's top two.
+  // The design's companion: a spread object is filled from the other of the hash's top two. So is any other
+  // while its cache has just started, and its home until then, the next by the hash, may still hold it.
+  // Guards against a location's link that a release fills with copies which are there already; where the
+  // other lacks it, that costs a moment and a hand-off.
   Way spread_way(const Pull& p) {
-    if (!p.hot || !peers_fill) return {};
-    const Way way = choose_cache(p);
-    if (!way || way.trial != kNobody) return {};
     const std::vector<int>& order = caches_for(p);
+    const bool took_over = !order.empty() && cold(order[0]) && !p.in_vain && p.looks == 0;
+    if ((!p.hot && !took_over) || !peers_fill) return {};
+    const Way way = choose_cache(p);
+    if (!way || way.trial != kNobody || (!p.hot && !cold(way.node))) return {};
     for (std::size_t i = 0; i < std::min<std::size_t>(2, order.size()); ++i) {
       const int n = order[i];
       if (n == way.node || !can_give(p, n) || is_out(n)) continue;
@@ -749,7 +772,7 @@
           fill_rate[s].add(now, p.size_kb, spent);
           if (by_origin) origin_rate.add(now, p.size_kb, spent);
         }
-        if (by_origin) measure_origin(false, off.sent);
+        if (by_origin) measure_origin(origin_pace(waited), off.sent);
         // Only full notes tell whether a parent held it; a sibling gives nothing else than what it holds.
         if (is_cache_kind(s) || tells_all) held_share[s].add(now, note == Note::kFilled ? 1 : 0, 1);
         break;
@@ -769,11 +792,12 @@
           p.bad_sources.push_back(s), p.in_vain = true;
           // What failed behind one parent fails behind the next, and the next try only adds to it.
           if (note == Note::kOriginFailed) p.no_origin = true;
-          if (!is_cache_kind(s) && !lost) measure_origin(true, off.sent);
+          if (!is_cache_kind(s) && !lost) measure_origin(kOriginCut, off.sent);
           measure_room(s, 0, true, off.sent);
           if (lost) strike(s, 1), fill_rate[s].add(now, 0, std::max(waited, kMeasurable));
         } else if (result == Result::kTurnedAway && is_origin(c)) {
-          measure_origin(true, off.sent);
+          // Once may be the connection's fault; the next goes out on another.
+          if (p.offs.size() > 1) measure_origin(kOriginCut, off.sent);
           if (p.hard_stop - now > 2 * kPause)
             wait(p, kPause * std::uniform_real_distribution<double>(0.5, 1.5)(chance));
         } else if (result == Result::kTurnedAway) {
@@ -797,7 +821,10 @@
     if (node == index.end() || link == report.end() || !is_cache(node->second)) return;
     if (now - link_heard < kReportEvery) return;
     link_heard = now;
-    link_part = link->second > kLinkFull ? kLinkCut * link_part : std::min(1.0, link_part + kLinkGrow);
+    // In proportion to what is too much or too little: steps of one size swung between shut and open.
+    const double fullness = link->second / kLinkFull;
+    link_part = fullness > 1 ? std::max(kLinkLeast, link_part * std::max(kLinkCut, 1 / fullness))
+                             : std::min(1.0, link_part + kLinkGrow * (1 - fullness));
   }
 
   // Who is to blame for a hand-off that stays out: the cache if not heard of since, else the source if
@@ -830,6 +857,8 @@
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
     if (!suspect(p, off)) return;
+    // Guards against a late fill for each parent while it is the origin behind all of them that is slow.
+    if (is_parent(off.source) && origin_part < 1 && heard_at[off.node] >= off.sent) return;
     if (second_copies) {
       p.overdue = true;
     } else if (time_for_another(p) && hand_offs_left(p)) {
@@ -872,9 +901,9 @@
   std::uint64_t list_turn = 1;
   std::vector<int> all_parents, own_caches;
   double flow = 0, link_part = 1, origin_part = 1, spare_fills = kSaved;
-  Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo;
+  Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo, origin_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
-  Average pace, origin_rate, misses, all_sends, false_caches, false_parents;
+  Average pace, origin_rate, usual_wait, misses, all_sends, false_caches, false_parents;
 
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -509,3 +509,132 @@
   const std::string trace = rig.taken();
   CHECK_MESSAGE(trace.find("no fill") == std::string::npos, trace);
 }
+
+TEST_CASE("a cache that took a home over is filled from the one that held it, then from the parent") {
+  Rig rig;
+  rig.list(ListScope::kCached, "c1 c2 P1 P2 P3 O");
+  rig.after(30);
+  rig.list(ListScope::kChanges, "c3", Readiness::kRunning, rig.now);
+  rig.after(5);
+  rig.taken();
+  int at_new = 0, from_sibling = 0;
+  for (int object = 1; object <= 30; ++object) {
+    const std::string id = named("o", object);
+    rig.pull(id, static_cast<std::uint64_t>(object), 0, 5);
+    const bool sibling = rig.source_of[id][0] == 'c';
+    at_new += rig.node_of[id][0] == "c3", from_sibling += sibling && rig.node_of[id][0] == "c3";
+    CHECK(sibling == (rig.node_of[id][0] == "c3"));
+    rig.ends(id, 0, Result::kCompleted, sibling ? Note::kFilled : Note::kHit, 0.1);
+  }
+  CHECK(at_new > 3);
+  CHECK(from_sibling == at_new);
+  rig.taken();
+  for (int object = 31; rig.trace.find("fill from c") == std::string::npos; ++object) {
+    rig.taken();
+    rig.pull("lacks", static_cast<std::uint64_t>(object), 0, 5);
+    if (rig.source_of["lacks"][0] != 'c')
+      rig.ends("lacks", 0, Result::kCompleted, Note::kHit, 0.1), rig.node_of.erase("lacks");
+  }
+  rig.ends("lacks", 0, Result::kAbsent, Note::kSourceLacks, 0.002);
+  CHECK(rig.node_of["lacks"][1] == "c3");
+  CHECK(rig.source_of["lacks"][0] == 'P');
+}
+
+TEST_CASE("a link a little too full sheds a little, one far too full much; neither swings open at once") {
+  const auto filled = [](std::initializer_list<double> reports) {
+    Rig rig;
+    rig.list(ListScope::kCached, kAll);
+    for (const double fullness : reports) {
+      rig.after(1);
+      rig.director->hand_off_ended(rig.now, {"none"}, {0}, {"c1"}, Result::kCompleted, Note::kHit, 0, 0.1,
+                                   {{"x1", fullness}}, true);
+    }
+    rig.pull("first", 1000);
+    int fills = 0;
+    for (int object = 1; object <= 100; ++object) {
+      const std::string id = named("o", object);
+      rig.pull(id, static_cast<std::uint64_t>(object));
+      fills += rig.source_of.contains(id) && rig.source_of[id][0] == 'P';
+      if (!rig.node_of[id].empty()) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0);
+    }
+    return fills;
+  };
+  const int open = filled({1.0}), little = filled({2.7}), much = filled({9.0, 9.0}),
+            after = filled({9.0, 9.0, 2.4});
+  CHECK(open == 100);
+  CHECK(little > 80);
+  CHECK(little < 100);
+  CHECK(much < 40);
+  CHECK(after - much <= 10);
+}
+
+TEST_CASE("an origin whose waits grow is spared before it refuses, and a single refusal cuts nothing") {
+  const auto fetches = [](const std::function<void(Rig&)>& before) {
+    Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
+    rig.list(ListScope::kCached, kAll);
+    for (int i = 0; i < 10; ++i) {
+      rig.pull(named("usual", i), static_cast<std::uint64_t>(i));
+      rig.ends(named("usual", i), 0, Result::kCompleted, Note::kFilledByOrigin, 0.2);
+    }
+    before(rig);
+    int fetching = 0;
+    for (int i = 100; i < 140; ++i) {
+      rig.pull(named("p", i), static_cast<std::uint64_t>(i));
+      fetching += rig.held_only_of[named("p", i)] ? 0 : 1;
+    }
+    return fetching;
+  };
+  CHECK(fetches([](Rig&) {}) == 40);
+  const auto waited = [](Rig& rig, Seconds each) {  // a quarter of it for the source
+    for (int i = 10; i < 13; ++i) {
+      rig.pull(named("slow", i), static_cast<std::uint64_t>(i));
+      rig.ends(named("slow", i), 0, Result::kCompleted, Note::kFilledByOrigin, each);
+    }
+  };
+  CHECK(fetches([&](Rig& rig) { waited(rig, 0.4); }) == 40);
+  CHECK(fetches([&](Rig& rig) { waited(rig, 1.2); }) < 36);
+  const auto refused = [](Rig& rig, int times) {
+    rig.pull("w", 900, 2);
+    for (int i = 0; i < times; ++i) {
+      rig.ends("w", i, Result::kTurnedAway);
+      rig.run_until(rig.now + 0.2);
+    }
+  };
+  CHECK(fetches([&](Rig& rig) { refused(rig, 1); }) == 40);
+  CHECK(fetches([&](Rig& rig) { refused(rig, 2); }) < 40);
+}
+
+TEST_CASE("a late fill is tried behind another parent, but not while the origin behind all of them is slow") {
+  const auto tries = [](bool origin_fails) {
+    Rig rig;
+    rig.list(ListScope::kCached, kAll);
+    for (int i = 0; i < 10; ++i) {
+      rig.pull(named("usual", i), static_cast<std::uint64_t>(i));
+      rig.ends(named("usual", i), 0, Result::kCompleted, Note::kFilled, 0.5);
+    }
+    if (origin_fails) {
+      rig.pull("fails", 50);
+      rig.ends("fails", 0, Result::kTurnedAway, Note::kOriginFailed, 0.01);
+    }
+    for (int i = 60; i < 100; ++i) {  // one that may be filled, and whose cache is heard of meanwhile
+      const std::string id = named("p", i);
+      rig.pull(id, static_cast<std::uint64_t>(i));
+      if (rig.node_of[id].empty() || rig.source_of[id][0] != 'P') continue;
+      const std::string cache = rig.node_of[id][0];
+      rig.after(0.01);
+      for (int k = 200; k < 260; ++k) {
+        const std::string other = named("k", k);
+        rig.pull(other, static_cast<std::uint64_t>(k));
+        if (rig.node_of[other].empty()) continue;
+        const bool same = rig.node_of[other][0] == cache;
+        rig.ends(other, 0, Result::kCompleted, Note::kHit, 0);
+        if (same) break;
+      }
+      rig.run_until(rig.now + 3);
+      return rig.node_of[id].size();
+    }
+    return std::size_t{0};
+  };
+  CHECK(tries(false) == 2);
+  CHECK(tries(true) == 1);
+}
