--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -57,10 +57,11 @@
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
-constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
-constexpr double kOriginGrow = 0.1;   // of the pulls a second: more of them while it answers in good time
-constexpr Seconds kOriginCalm = 2.0;  // s without a failure there: after each, twice as many may reach it
-constexpr double kOriginSlow = 5.0;   // x the usual wait for it: more shows a crowd before it refuses
+constexpr double kOriginCut = 0.7;  // x: the part of pulls that may reach the origin, after a failure there
+constexpr double kOriginAnswer = 0.02;  // of the pulls: more of them at each of its answers in good time
+constexpr double kOriginGrow = 0.1;     // of the pulls a second: the same by time, where its answers are few
+constexpr Seconds kOriginCalm = 2.0;    // s without a failure there: after each, twice as many may reach it
+constexpr double kOriginSlow = 5.0;     // x the usual wait for it: more shows a crowd before it refuses
 constexpr double kOriginDeepest = 0.3;  // x: the most that one slow answer cuts
 constexpr Seconds kLeastWait = 0.02;    // s: waits under this tell of the way there, not of a crowd
 constexpr double kOriginLeast = 0.05;   // of the pulls: fewer would not tell when the origin is back
@@ -506,13 +507,14 @@
   // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail
   // there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
   bool origin_open(const Pull& p) { return is_write(p) || p.lot <= origin_part; }
-  // It grows by time, not by answers: where a director hears of the origin only now and then, a cut outlived
-  // its cause by many seconds. Many answers do not make it grow faster, so that a busy director takes
-  // nobody's part.
+  // It grows by answers or by time, whichever is more: by answers alone, where a director hears of the origin
+  // only now and then, a cut outlived its cause by many seconds; by time alone, a busy one came back too
+  // late.
   void measure_origin(double keep, Seconds sent) {
     if (keep >= 1) {
       const Seconds since = std::min(1.0, now - std::max(origin_heard, origin_cut_at));
-      origin_part = std::min(1.0, origin_part + kOriginGrow * since), origin_heard = now;
+      origin_part = std::min(1.0, origin_part + std::max(kOriginAnswer, kOriginGrow * since)),
+      origin_heard = now;
     }
     if (keep >= 1 || sent <= origin_cut_at) return;
     origin_part = std::max(kOriginLeast, keep * origin_part), origin_cut_at = origin_calm_at = now;
@@ -858,6 +860,7 @@
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
     if (!suspect(p, off)) return;
     // Guards against a late fill for each parent while it is the origin behind all of them that is slow.
+    // Hurts where a parent vanishes just then: its fills wait out their time until strikes leave it out.
     if (is_parent(off.source) && origin_part < 1 && heard_at[off.node] >= off.sent) return;
     if (second_copies) {
       p.overdue = true;
--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -30,7 +30,7 @@
     peer.book(*this, open.at(pull), result, note, parser.answer_bytes());
     // Guards against a node that takes more connections than it serves and turns away whatever comes on those
     // too many, for as long as they stand: what comes next goes out on another. Also meets a node that is
-    // full; there it costs a connection set up anew until one has been served.
+    // full; there it costs a connection set up anew, by each of many directors, until one has been served.
     const bool turned_away = result == Result::kTurnedAway && note == Note::kNone;
     if (turned_away && !served && !std::exchange(retiring, true)) ++peer.counters_.links_turned_away;
     served = served || !turned_away;
