--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -39,6 +39,11 @@
         change_log_(scheduler_, config.limits, counters_, log, config.change_log, config.change_log_host,
                     config.known_to, module_),
         front_(scheduler_, config.limits, counters_, config.listen, config.names, module_, flows_.get()) {
+    scheduler_.on_late = [this](Seconds until) {
+      module_.woke_late(until);
+      if (scheduler_.late() >= 1)  // shorter ones are only counted: a machine without a free core has many
+        log_.warning("stood_still", "the process stood still for {:.1f} s", scheduler_.late());
+    };
     scheduler_.on_failure = [this](std::exception_ptr failure) {
       ++counters_.failures;
       try {
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -322,7 +322,9 @@
     wording->depot_number = depot_.value;
   }
   const Limits& limits = front_.limits_;
-  const Seconds hard_stop = Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin);
+  // A pull read after a pause may have waited for all of it, and its client's time began with the sending.
+  const Seconds hard_stop = Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin -
+                                                                 front_.scheduler_.late());
   pull_ = {std::move(request_.id)};
   owed_ = true;
   front_.module_.pull_arrived(pull_, {static_cast<int>(place)}, object, part, {request_.family}, hard_stop,
--- a/src/routing/module.cpp
+++ b/src/routing/module.cpp
@@ -109,19 +109,34 @@
       flows_(flows),
       parent_kind_(settings["FamilyInfo.ShieldKind"]),
       origin_kind_(settings["FamilyInfo.OriginKind"]),
-      mailbox_(scheduler) {
+      mailbox_(scheduler),
+      told_(scheduler) {
   Actions& actions = *this;
   director_ = std::make_unique<Director>(clock_.now(), std::move(settings), seed, actions);
 }
 
 ModuleActor::~ModuleActor() = default;
 
-void ModuleActor::start() { scheduler_.spawn(live(*this)); }
+void ModuleActor::start() {
+  scheduler_.spawn(live(*this));
+  scheduler_.spawn(hear(*this));
+}
 
-Task<> ModuleActor::live(ModuleActor& self) { co_await self.mailbox_.serve(); }
+Task<> ModuleActor::live(ModuleActor& self) {
+  for (auto call = co_await self.mailbox_.next(); call; call = co_await self.mailbox_.next()) {
+    while (Scheduler::now() < self.held_until_) co_await self.scheduler_.sleep_until(self.held_until_);
+    self.scheduler_.run_guarded(call);
+  }
+}
+Task<> ModuleActor::hear(ModuleActor& self) { co_await self.told_.serve(); }
+
+void ModuleActor::woke_late(Seconds listen_until) {
+  ++counters_.late_turns;
+  held_until_ = listen_until;
+}
 
 void ModuleActor::change_arrived(protocol::Json change, bool known) {
-  mailbox_.post([this, change = std::move(change), known] {
+  told_.post([this, change = std::move(change), known] {
     Changes changes(*this, known);
     protocol::read_change(change, changes);
   });
@@ -266,7 +281,9 @@
   pull->outs.push_back({node, now});
   ++counters_.hand_offs;
   const auto peer = peers_.find(node);
-  if (peer == peers_.end()) return ended(id, number, node, Result::kNotSent, Note::kNone, 0, {}, {});
+  // Its time may have gone by while the process stood still: nobody waits for it any more.
+  if (peer == peers_.end() || now >= pull->hard_stop)
+    return ended(id, number, node, Result::kNotSent, Note::kNone, 0, {}, {});
   const Seconds until = time_out > 0 ? std::min(now + time_out, pull->hard_stop) : pull->hard_stop;
   peer->second->hand_off(id, number, pull->wording, fill, until);
 }
--- a/src/routing/module.hpp
+++ b/src/routing/module.hpp
@@ -44,6 +44,10 @@
   void start();
   std::size_t open_pulls() const { return open_; }
 
+  // Guards against sending on what was true before the process stood still: drains and purges told meanwhile
+  // wait in the change log's socket beside the pulls. Until then only changes reach the module.
+  void woke_late(Seconds listen_until);
+
   // From here on each call only posts.
   void change_arrived(protocol::Json change, bool known);
   void pull_arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
@@ -82,6 +86,7 @@
   void forget_if_quiet(const PullId& pull);
   void count(Result result);
   static transport::Task<> live(ModuleActor& self);
+  static transport::Task<> hear(ModuleActor& self);
 
   // Actions, called from within the director.
   void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override;
@@ -101,7 +106,8 @@
   flow::Exporter* const flows_;            // null: flows are not exported
   std::string parent_kind_, origin_kind_;  // by index, as the settings name them
   transport::Clock clock_;
-  transport::Mailbox mailbox_;
+  transport::Mailbox mailbox_, told_;  // told_: changes alone
+  Seconds held_until_ = 0;             // what is in mailbox_ waits until then
   std::size_t links_ = 0, open_ = 0;
   std::map<NodeId, std::shared_ptr<Peer>> peers_;
   std::map<NodeId, transport::Address> addresses_;
--- a/src/transport/mailbox.hpp
+++ b/src/transport/mailbox.hpp
@@ -35,7 +35,6 @@
     for (Call call = co_await next(); call; call = co_await next()) scheduler_.run_guarded(call);
   }
 
- private:
   struct Next {
     Mailbox& box;
     bool await_ready() const noexcept { return !box.calls_.empty() || box.closed_; }
@@ -47,7 +46,9 @@
       return call;
     }
   };
-  Next next() { return Next{*this}; }
+  Next next() { return Next{*this}; }  // an empty call once it is closed and empty
+
+ private:
   void wake() {
     if (actor_) scheduler_.resume_soon(std::exchange(actor_, {}));
   }
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -9,11 +9,15 @@
 #include <cerrno>
 #include <cmath>
 #include <system_error>
+#include <utility>
 
 namespace hareramp::transport {
 
 namespace {
 constexpr int kEventsAtOnce = 128;
+constexpr Seconds kLongestSleep = 0.25;  // a stop is known only as far as it outlasts the sleep that it fell into
+constexpr Seconds kLateTurn = 0.25;      // some hundred usual turns; a quarter of the shortest grace of the rules
+constexpr Seconds kLateFelt = 0.05;      // what waited in the sockets is read by then
 }
 
 Scheduler::Scheduler() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
@@ -58,7 +62,8 @@
     run_ready();
     if (stopped_ || (ready_.empty() && timers_.empty() && watched_ == 0)) return;
     wait_for_sockets();
-    while (!timers_.empty() && timers_.begin()->first.first <= now()) {
+    // What is due since the sockets were looked at waits: after a stop they are heard before any time-out.
+    while (!timers_.empty() && timers_.begin()->first.first <= turned_at_) {
       Call what = std::move(timers_.begin()->second);
       timers_.erase(timers_.begin());
       run_guarded(what);
@@ -107,23 +112,25 @@
 }
 
 void Scheduler::wait_for_sockets() {
-  Seconds pause = -1;
+  Seconds pause = kLongestSleep;
   if (!ready_.empty()) {
     pause = 0;
   } else if (!timers_.empty()) {
-    pause = std::max(0.0, timers_.begin()->first.first - now());
+    pause = std::clamp(timers_.begin()->first.first - now(), 0.0, kLongestSleep);
   }
   std::array<epoll_event, kEventsAtOnce> events;
   timespec wait{};
-  if (pause >= 0) {
-    const double whole = std::floor(std::min(pause, 3600.0));
-    wait.tv_sec = static_cast<time_t>(whole);
-    wait.tv_nsec = static_cast<long>(std::min((std::min(pause, 3600.0) - whole) * 1e9, 999999999.0));
-  }
-  int count = epoll_pwait2(epoll_, events.data(), kEventsAtOnce, pause >= 0 ? &wait : nullptr, nullptr);
+  wait.tv_nsec = static_cast<long>(pause * 1e9);
+  int count = epoll_pwait2(epoll_, events.data(), kEventsAtOnce, &wait, nullptr);
   if (count < 0 && errno == ENOSYS)  // a kernel before 5.11: whole milliseconds, rounded up
-    count = epoll_wait(epoll_, events.data(), kEventsAtOnce,
-                       pause >= 0 ? static_cast<int>(std::ceil(std::min(pause, 3600.0) * 1000)) : -1);
+    count = epoll_wait(epoll_, events.data(), kEventsAtOnce, static_cast<int>(std::ceil(pause * 1000)));
+  if (count < 0 && errno == EINTR)  // stopped and continued: what came meanwhile goes before the timers
+    count = epoll_wait(epoll_, events.data(), kEventsAtOnce, 0);
+  const Seconds woke = now(), late = woke - std::exchange(turned_at_, woke) - pause;
+  if (late > kLateTurn) {
+    late_by_ = late, late_until_ = woke + kLateFelt;
+    if (on_late) on_late(late_until_);
+  }
   // A watch can't vanish between here and the last event: coroutines run only later.
   for (int i = 0; i < count; ++i) {
     auto& watch = *static_cast<Watch*>(events[i].data.ptr);
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -58,6 +58,13 @@
     return Sleep{*this, when};
   }
 
+  // Guards against acting on old knowledge after the process stood still (stopped, a frozen machine, a turn that
+  // took long): by how much the last turn came late, for a moment after one that came very late; else 0. What
+  // is read then may have waited for so long. It also meets a machine without a free core; what comes newly in
+  // that moment is taken for older than it is.
+  Seconds late() const { return now() < late_until_ ? late_by_ : 0; }
+  std::function<void(Seconds until)> on_late;  // called before anything else is done in such a turn
+
   // Carries a call out; what it throws goes to on_failure, and the loop goes on.
   void run_guarded(Call& call) noexcept;
 
@@ -73,6 +80,7 @@
   int epoll_;
   bool stopped_ = false;
   std::size_t watched_ = 0;
+  Seconds turned_at_ = now(), late_by_ = 0, late_until_ = 0;
   std::uint64_t timers_made_ = 0;
   std::deque<std::coroutine_handle<>> ready_;
   std::map<TimerKey, Call> timers_;
