--- a/experiments/rig/fleet.hpp
+++ b/experiments/rig/fleet.hpp
@@ -26,14 +26,14 @@
   std::string program;  // the director's
   int directors = 5, caches = 5, parents = 2;
   double cache_pace = 80, parent_pace = 100, origin_pace = 160;  // pulls a second at most
-  double rate = 220;                                            // pulls a second of all clients
-  double writes = 0.04;                                           // share of the pulls
+  double rate = 220;                                             // pulls a second of all clients
+  double writes = 0.04;                                          // share of the pulls
   int objects = 400;
   double zipf = 0.9, life = 30;  // life: s after which an object gives way to another
   double read_stop = 1.5, write_stop = 2.5;
-  int repeats = 3;            // of a client's pull that was bounced
-  double honours = 0.6;       // share of the clients that heed the advice; the others come at once
-  double cold_for = 60;       // s in which a node that starts warms up
+  int repeats = 3;       // of a client's pull that was bounced
+  double honours = 0.6;  // share of the clients that heed the advice; the others come at once
+  double cold_for = 60;  // s in which a node that starts warms up
   std::uint64_t seed = 1;
 };
 
@@ -57,8 +57,8 @@
   void stop_node(const std::string& id);   // its connections are reset, new ones refused
   void start_node(const std::string& id);  // cold and empty, at the same address; told by the change log
   void drain(const std::string& id);
-  void hang_origin(bool hangs);            // takes everything, answers nothing
-  void slow_origin(double factor);         // bears that part of its pace
+  void hang_origin(bool hangs);     // takes everything, answers nothing
+  void slow_origin(double factor);  // bears that part of its pace
   Relay& link(int director, const std::string& node);
   Relay& feed(int director) { return *feeds_[director]; }
   const History::Spans& excused() const { return excused_; }
--- a/experiments/rig/history.cpp
+++ b/experiments/rig/history.cpp
@@ -26,14 +26,13 @@
     int answers = 0, status = 0;
   };
   std::map<std::string, Try> tries;
-  std::map<std::string, std::string> try_of_run;           // a pull's effect, by the try that had it
-  std::map<std::string, double> told;                      // of a drain, by node
+  std::map<std::string, std::string> try_of_run;            // a pull's effect, by the try that had it
+  std::map<std::string, double> told;                       // of a drain, by node
   std::map<std::string, std::set<std::string>> refused_of;  // tries of a pull that may be repeated
   const auto is_excused = [&](const std::string& who, double at) {
     const auto [first, last] = excused.equal_range(who);
-    return std::any_of(first, last, [&](const auto& span) {
-      return at >= span.second.first && at <= span.second.second;
-    });
+    return std::any_of(first, last,
+                       [&](const auto& span) { return at >= span.second.first && at <= span.second.second; });
   };
   for (const Row& row : rows_) {
     if (row.what == "ask") tries[row.id] = {row.pull, row.who, row.at + row.left, 0, 0};
@@ -52,8 +51,8 @@
       found.push_back(fmt::format("{:.3f} {} sent to {} after its drain", row.at, row.id, row.who));
     // A director that woke late must not send what its client has given up.
     if (row.what == "hand_off" && tries.contains(row.id) && row.at > tries[row.id].stop + slack)
-      found.push_back(fmt::format("{:.3f} {} sent to {} {:.3f} s after its hard stop", row.at, row.id, row.who,
-                                  row.at - tries[row.id].stop));
+      found.push_back(fmt::format("{:.3f} {} sent to {} {:.3f} s after its hard stop", row.at, row.id,
+                                  row.who, row.at - tries[row.id].stop));
     if (row.what == "run") {
       const auto [first, is_first] = try_of_run.emplace(tries[row.id].pull, row.id);
       if (!is_first)
--- a/experiments/rig/history.hpp
+++ b/experiments/rig/history.hpp
@@ -10,13 +10,13 @@
 namespace hareramp::rig {
 
 struct Row {
-  double at = 0;     // s since the start
+  double at = 0;          // s since the start
   std::string what = {};  // ask, answer, unanswered, hand_off, run, origin, fallen, told, fault
   std::string pull = {};  // the client's number of the pull, the same for its repeats
   std::string id = {};    // of the try
   std::string who = {};   // the director, for what clients saw, or the node
-  int figure = 0;    // ask: which try; answer: the status
-  double left = 0;   // s: until the hard stop (ask, hand_off), or the advice (answer)
+  int figure = 0;         // ask: which try; answer: the status
+  double left = 0;        // s: until the hard stop (ask, hand_off), or the advice (answer)
 };
 
 class History {
--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -47,7 +47,7 @@
   COUNT(log_silent, "of these given up as silent")                                   \
   COUNT(events, "events of the change log")                                          \
   COUNT(events_skipped, "of these not understood, or out of turn")                   \
-  COUNT(late_turns, "turns of the loop that came very late: the process stood still")                        \
+  COUNT(late_turns, "turns of the loop that came very late")                         \
   COUNT(reloads, "configurations read again and taken")                              \
   COUNT(reloads_failed, "configurations that could not be read or used")             \
   COUNT(nodes, "nodes known now, those just gone included")                          \
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -323,8 +323,8 @@
   }
   const Limits& limits = front_.limits_;
   // A pull read after a pause may have waited for all of it, and its client's time began with the sending.
-  const Seconds hard_stop = Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin -
-                                                                 front_.scheduler_.late());
+  const Seconds hard_stop =
+      Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin - front_.scheduler_.late());
   pull_ = {std::move(request_.id)};
   owed_ = true;
   front_.module_.pull_arrived(pull_, {static_cast<int>(place)}, object, part, {request_.family}, hard_stop,
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -15,10 +15,11 @@
 
 namespace {
 constexpr int kEventsAtOnce = 128;
-constexpr Seconds kLongestSleep = 0.25;  // a stop is known only as far as it outlasts the sleep that it fell into
-constexpr Seconds kLateTurn = 0.25;      // some hundred usual turns; a quarter of the shortest grace of the rules
-constexpr Seconds kLateFelt = 0.05;      // what waited in the sockets is read by then
-}
+constexpr Seconds kLongestSleep =
+    0.25;                            // a stop is known only as far as it outlasts the sleep that it fell into
+constexpr Seconds kLateTurn = 0.25;  // some hundred usual turns; a quarter of the shortest grace of the rules
+constexpr Seconds kLateFelt = 0.05;  // what waited in the sockets is read by then
+}  // namespace
 
 Scheduler::Scheduler() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
   if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -58,10 +58,10 @@
     return Sleep{*this, when};
   }
 
-  // Guards against acting on old knowledge after the process stood still (stopped, a frozen machine, a turn that
-  // took long): by how much the last turn came late, for a moment after one that came very late; else 0. What
-  // is read then may have waited for so long. It also meets a machine without a free core; what comes newly in
-  // that moment is taken for older than it is.
+  // Guards against acting on old knowledge after the process stood still (stopped, a frozen machine, a turn
+  // that took long): by how much the last turn came late, for a moment after one that came very late; else 0.
+  // What is read then may have waited for so long. It also meets a machine without a free core; what comes
+  // newly in that moment is taken for older than it is.
   Seconds late() const { return now() < late_until_ ? late_by_ : 0; }
   std::function<void(Seconds until)> on_late;  // called before anything else is done in such a turn
 
