--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -1,4 +1,6 @@
 // Buffers, the scheduler, timers, mailboxes and sockets.
+#include <unistd.h>
+
 #include <stdexcept>
 
 #include "base/log.hpp"
@@ -154,6 +156,37 @@
   CHECK(trace == "refused stuck silent closed");
 }
 
+TEST_CASE(
+    "after a turn that took long, what came meanwhile is heard before any time-out, and the pause is told") {
+  Scheduler scheduler;
+  StandIn server(scheduler);
+  std::string trace;
+  Seconds told = 0;
+  scheduler.on_late = [&](Seconds until) { told = until; };
+  const auto hear = [](Scheduler& s, Address at, std::string& said) -> Task<> {
+    auto connected = co_await connect(s, at, Scheduler::now() + 5);
+    Buffer in(16);
+    const Io io = co_await connected.socket.read(in, 16, Scheduler::now() + 0.1);
+    said = io.ok() ? std::string(in.view()) + (s.late() >= 0.25 ? ", late" : "") : "timed out";
+  };
+  scheduler.spawn(hear(scheduler, server.address, trace));
+  // As if the process were stopped here, past the time-out, with bytes on their way.
+  const auto stand_still = [](Scheduler& s, StandIn& from) -> Task<> {
+    while (!from.came(1)) co_await s.sleep_until(Scheduler::now() + 0.001);
+    s.at(Scheduler::now() + 0.01, [&from] {
+      from.ends[0]->send("news");
+      usleep(500000);
+    });
+  };
+  scheduler.spawn(stand_still(scheduler, server));
+  REQUIRE(runs_until(scheduler, [&] { return !trace.empty(); }));
+  CHECK(trace == "news, late");
+  CHECK(told > 0);
+  const Seconds calm = Scheduler::now() + 0.1;
+  REQUIRE(runs_until(scheduler, [&] { return Scheduler::now() > calm; }));
+  CHECK(scheduler.late() == 0);
+}
+
 TEST_CASE("a log that nobody reads loses lines, and says so once it is read again") {
   int ends[2];
   REQUIRE(pipe(ends) == 0);
