--- a/experiments/rig/fleet.cpp
+++ b/experiments/rig/fleet.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "protocol/http.hpp"
+#include "rig/commands.hpp"
 #include "transport/clock.hpp"
 
 namespace hareramp::rig {
@@ -38,14 +39,6 @@
 
 transport::Address any() { return *transport::Address::parse("127.0.0.1:0"); }
 
-std::string field(const std::string& fields, const std::string& name) {
-  const std::string all = "," + fields + ",";
-  const auto at = all.find("," + name + "=");
-  if (at == std::string::npos) return "";
-  const auto from = at + name.size() + 2;
-  return all.substr(from, all.find(',', from) - from);
-}
-
 struct Answer : protocol::HttpHandler {
   int status = 0;
   double advice = 0;
@@ -320,24 +313,12 @@
   for (;;) {
     const auto io = co_await socket->read(in, kRoom, kNever);
     if (!io.ok()) co_return;
-    for (;;) {
-      const auto end = in.view().find("\r\n");
-      if (end == std::string_view::npos) break;
-      const std::string line(in.view().substr(0, end));
-      if (line.starts_with("cancel ")) {
-        const auto found = node.out.find(line.substr(7));
-        if (found != node.out.end()) found->second = true;
-      }
-      if (!line.starts_with("serve ")) {
-        in.consume(end + 2);
-        continue;
-      }
-      const auto id_end = line.find(' ', 6), fields_end = line.rfind(' ');
-      std::size_t length = 0;
-      std::from_chars(line.data() + fields_end + 1, line.data() + line.size(), length);
-      if (in.size() < end + 2 + length + 2) break;
-      in.consume(end + 2 + length + 2);
-      self.serve(node, socket, line.substr(6, id_end - 6), line.substr(id_end + 1, fields_end - id_end - 1));
+    while (const auto command = next_command(in)) {
+      const auto found = node.out.find(command->id);
+      if (command->word == "serve")
+        self.serve(node, socket, command->id, command->fields);
+      else if (found != node.out.end())
+        found->second = true;
     }
   }
 }
--- a/experiments/rig/world.cpp
+++ b/experiments/rig/world.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <utility>
 
+#include "rig/commands.hpp"
 #include "transport/tcp_counts.hpp"
 
 namespace hareramp::rig {
@@ -19,13 +20,6 @@
 namespace {
 constexpr std::size_t kReadRoom = 65536;
 transport::Address any() { return *transport::Address::parse("127.0.0.1:0"); }
-std::string field(const std::string& fields, const std::string& name) {
-  const std::string all = "," + fields + ",";
-  const auto at = all.find("," + name + "=");
-  if (at == std::string::npos) return "";
-  const auto from = at + name.size() + 2;
-  return all.substr(from, all.find(',', from) - from);
-}
 }  // namespace
 
 Node::Node(Scheduler& scheduler, std::map<std::string, std::size_t> sizes, NodeWays ways, std::uint64_t seed)
@@ -63,22 +57,10 @@
     const auto io = co_await socket->read(in, kReadRoom, kNever);
     if (!io.ok()) co_return;
     self.octets_.received += io.bytes;
-    for (;;) {
-      const auto end = in.view().find("\r\n");
-      if (end == std::string_view::npos) break;
-      const std::string line(in.view().substr(0, end));
-      if (!line.starts_with("serve ")) {
-        in.consume(end + 2);
-        continue;
-      }
-      const auto id_end = line.find(' ', 6), fields_end = line.rfind(' ');
-      std::size_t length = 0;
-      std::from_chars(line.data() + fields_end + 1, line.data() + line.size(), length);
-      if (in.size() < end + 2 + length + 2) break;
-      in.consume(end + 2 + length + 2);
+    while (const auto command = next_command(in)) {
+      if (command->word != "serve") continue;
       ++self.pulls_;
-      const std::string id = line.substr(6, id_end - 6),
-                        fields = line.substr(id_end + 1, fields_end - id_end - 1);
+      const std::string &id = command->id, &fields = command->fields;
       const auto size = self.sizes_.find(field(fields, "lane"));
       const std::size_t bytes = size == self.sizes_.end() ? 100 : size->second;
       std::uniform_real_distribution<double> share(0, 1);
