A module held after a late turn is not held again within a second

Cause: read in review, not seen: ModuleActor::live waits until held_until_, which each late turn moved on. On a machine so short of cores that every turn is late the module, and the last resort behind it, would never run. Change: one hold a second at most.

--- a/src/routing/module.cpp
+++ b/src/routing/module.cpp
@@ -130,9 +130,13 @@
 }
 Task<> ModuleActor::hear(ModuleActor& self) { co_await self.told_.serve(); }
 
+// Guards against a machine so short of cores that every turn is late: held anew each time, the module would
+// never get to a pull, nor the last resort to its answer. It hurts a second long pause right after a first.
 void ModuleActor::woke_late(Seconds listen_until) {
+  constexpr Seconds kHoldAgain =
+      1;  // s: the shortest grace on drains; older news was heard in the hold before
   ++counters_.late_turns;
-  held_until_ = listen_until;
+  if (listen_until > held_until_ + kHoldAgain) held_until_ = listen_until;
 }
 
 void ModuleActor::change_arrived(protocol::Json change, bool known) {
