Late hand-offs are given up by measured odds; late ones tell of a slow origin

Cause: where no second copies are allowed, a late hand-off was called off and made anew. Ruled out: refusals by nodes (under 1% of the hand-offs), purges, cold budgets (log of each pull given up).

Change: late() gives up a hand-off where second copies are not allowed only if its node or source is left out, or if measured odds say that late ones come less than half as often as new ones are in time; it looks again after each time a new one would take. A late fill whose cache and parent were heard of since, and a late hand-off at the origin, cut the origin's part. It counts calls alike, whatever their size, and grows by time alone, half of all pulls a second (answers counted before: dropped). The kept traces: one late hand-off alone is not called off any more (settings), the part is whole sooner (origin_part).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -57,14 +57,14 @@
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
-constexpr double kOriginCut = 0.7;  // x: the part of pulls that may reach the origin, after a failure there
-constexpr double kOriginAnswer = 0.02;  // of the pulls: more of them at each of its answers in good time
-constexpr double kOriginGrow = 0.1;     // of the pulls a second: the same by time, where its answers are few
-constexpr Seconds kOriginCalm = 2.0;    // s without a failure there: after each, twice as many may reach it
-constexpr double kOriginSlow = 5.0;     // x the usual wait for it: more shows a crowd before it refuses
+constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
+constexpr double kOriginGrow = 0.5;   // of the pulls a second: more of them as its answers come in good time
+constexpr Seconds kOriginCalm = 2.0;  // s without a failure there: after each, twice as many may reach it
+constexpr double kOriginSlow = 5.0;   // x the usual wait for it: more shows a crowd before it refuses
 constexpr double kOriginDeepest = 0.3;  // x: the most that one slow answer cuts
 constexpr Seconds kLeastWait = 0.02;    // s: waits under this tell of the way there, not of a crowd
 constexpr double kOriginLeast = 0.05;   // of the pulls: fewer would not tell when the origin is back
+constexpr double kWorthIt = 0.5;      // x the odds of a new hand-off: under it a late one is given up for it
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: about so long before a write turned away asks the origin again
@@ -127,6 +127,7 @@
   int node = kNobody, source = kNobody;
   Seconds sent = 0, patience = 0;
   bool out = true, cancelled = false, trial = false, in_room = true;
+  int late = 0;
   double source_charge = 0;
 };
 
@@ -136,7 +137,7 @@
   std::uint64_t object = 0, unit = 0;
   std::int64_t group = 0;
   Seconds arrived = 0, hard_stop = 0, resume_at = kLongAgo, first_ran = 0;
-  double size_kb = 0, lot = 0;
+  double size_kb = 0, lot = 0, draw = 0;
   bool write = false, hot = false, known = false, no_origin = false, in_vain = false, under_way = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
   int first_node = kNobody, looks = 0;
@@ -506,15 +507,13 @@
   bool link_open(const Pull& p) { return p.lot <= link_part; }
   // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail
   // there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
-  bool origin_open(const Pull& p) { return is_write(p) || p.lot <= origin_part; }
-  // It grows by answers or by time, whichever is more: by answers alone, where a director hears of the origin
-  // only now and then, a cut outlived its cause by many seconds; by time alone, a busy one came back too
-  // late.
+  bool origin_open(const Pull& p) { return is_write(p) || p.draw <= origin_part; }
+  // It grows by time, not by the number of answers: a director that hears of the origin only now and then
+  // would else keep a cut for many seconds after its cause.
   void measure_origin(double keep, Seconds sent) {
     if (keep >= 1) {
       const Seconds since = std::min(1.0, now - std::max(origin_heard, origin_cut_at));
-      origin_part = std::min(1.0, origin_part + std::max(kOriginAnswer, kOriginGrow * since)),
-      origin_heard = now;
+      origin_part = std::min(1.0, origin_part + kOriginGrow * since), origin_heard = now;
     }
     if (keep >= 1 || sent <= origin_cut_at) return;
     origin_part = std::max(kOriginLeast, keep * origin_part), origin_cut_at = origin_calm_at = now;
@@ -643,8 +642,9 @@
     if (off.trial) next_trial[way.trial] = now + (is_out(way.trial) ? back_off[way.trial] : kTrialEvery);
     if (p.in_vain && way.source != way.node && !is_cache_kind(way.source)) spare_fills -= 1;
     const Seconds wait = expected(p), in_hand = contract_time(p) - (now - p.arrived) - wait;
-    // As long as a further hand-off could still make the contract time; less for a member on trial.
-    off.patience = off.trial ? kOverdue * wait : std::max(kOverdue * wait, in_hand);
+    // As long as a further hand-off could still make the contract time; less for a member on trial, and where
+    // lateness alone gives nothing up (late).
+    off.patience = off.trial || !second_copies ? kOverdue * wait : std::max(kOverdue * wait, in_hand);
     const int rank = is_write(p) ? 0 : p.hot ? 3 : p.known ? 2 : 1;
     const FillTerms fill = {.source = name[way.source],
                             .rank = rank,
@@ -660,8 +660,7 @@
     work_out[way.node] += send_time(p);
     ++out_here[way.node], ++out_from[way.source];
     actions.hand_off(p.id, name[way.node], fill, repeatable && !call_back ? off.patience : 0);
-    if (repeatable && call_back && now + off.patience < p.hard_stop)
-      actions.wake(now + off.patience, {"late:" + std::to_string(p.offs.size() - 1) + ":" + p.id.value});
+    if ((repeatable && call_back) || is_origin(off.node)) watch(p, p.offs.size() - 1, off.patience);
   }
 
   // --- the rules: conditions and effects ---
@@ -758,6 +757,8 @@
         const bool filled = note == Note::kFilled || note == Note::kFilledByOrigin;
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
         const bool crowded = is_crowded(p, spent);
+        if (off.late == 0) in_time.add(now, 1, 1);
+        if (off.late == 1) late_comers.add(now, 1, 1);
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         serve_rate[c].add(now, p.size_kb, 1);
@@ -851,24 +852,54 @@
     const auto found = pulls.find(id);
     return found == pulls.end() ? nullptr : &found->second;
   }
+  // Guards against giving up what would still have come, where a further hand-off costs the one that is out:
+  // of those late for the first time, how many come within the time of a new one, and how many are in time at
+  // all? Who has seen none believes in them. Meets slow nodes and sources, crowds, and answers that are lost;
+  // it hurts for the first few losses, which wait.
+  bool still_comes() {
+    const auto odds = [&](Average& of) { return of.add(now, 0, 0), (of.sum + 1) / (of.weight + 1); };
+    return odds(late_comers) >= kWorthIt * odds(in_time);
+  }
+  // Guards against a queue at the origin that is told of only by answers that have waited in it: who has
+  // heard of cache and parent since, but not of the fill, hears of the origin. Meets a slow and a crowded
+  // one; it hurts where a parent's link is slow just then, for as long as its part takes to grow again.
+  bool must_be_the_origin(const HandOff& off) {
+    const auto heard = [&](const std::vector<Seconds>& at, int n) {
+      return is_origin(n) || at[n] > off.sent;
+    };
+    return !is_cache_kind(off.source) && heard(heard_at, off.node) && heard(filled_at, off.source);
+  }
   void late(const PullId& id, std::size_t place) {
     if (!held(id) || place >= held(id)->offs.size()) return;
     Pull& p = *held(id);
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
+    if (++off.late == 1) in_time.add(now, 0, 1);
+    if (off.late == 2) late_comers.add(now, 0, 1);
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
-    if (!suspect(p, off)) return;
+    const bool suspected = off.late == 1 && suspect(p, off);
+    if (off.late == 1 && must_be_the_origin(off)) measure_origin(kOriginCut, off.sent);
+    if (grade_of(p).effect != Effect::kRetriable) return;
+    const bool gone = is_out(off.node) || is_out(off.source);
     // Guards against a late fill for each parent while it is the origin behind all of them that is slow.
     // Hurts where a parent vanishes just then: its fills wait out their time until strikes leave it out.
-    if (is_parent(off.source) && origin_part < 1 && heard_at[off.node] >= off.sent) return;
-    if (second_copies) {
-      p.overdue = true;
-    } else if (time_for_another(p) && hand_offs_left(p)) {
-      off.cancelled = true;
-      actions.cancel(id, {static_cast<int>(place)});
+    const bool by_origin = is_parent(off.source) && origin_part < 1 && heard_at[off.node] >= off.sent;
+    if (second_copies ? suspected && !by_origin : gone || !still_comes()) {
+      const bool can_fill = !p.in_vain || spare_fills >= 1;
+      if (second_copies) {
+        p.overdue = true;
+      } else if (can_fill && time_for_another(p) && hand_offs_left(p)) {
+        off.cancelled = true;
+        actions.cancel(id, {static_cast<int>(place)});
+      }
+      touched.push_back(id);
     }
-    touched.push_back(id);
+    if (!off.cancelled) watch(p, place, expected(p));
+  }
+  void watch(const Pull& p, std::size_t place, Seconds time) {
+    if (now + time < p.hard_stop)
+      actions.wake(now + time, {"late:" + std::to_string(place) + ":" + p.id.value});
   }
 
   void purged(auto& purges, auto key, Seconds age) {
@@ -907,6 +938,7 @@
   Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo, origin_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, usual_wait, misses, all_sends, false_caches, false_parents;
+  Average in_time, late_comers;
 
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
@@ -997,8 +1029,8 @@
   }
   m.all_sends.add(now, m.send_time(p), 1);
   // By object and time, so that neither a client's repeat nor another director draws anew.
-  const double draw = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
-  p.lot = std::min(1.0, draw / m.extra(p));
+  p.draw = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
+  p.lot = std::min(1.0, p.draw / m.extra(p));
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -433,6 +433,9 @@
   Rig single(Settings{{"Permissions.SecondCopies", "false"}});
   single.list(ListScope::kCached, "c1 c2 P1 O");
   single.pull("p1", 1);
+  single.say(
+      "one late says little; the second that nothing is heard of leaves the cache out, and is called off");
+  single.pull("p2", 1);
   single.run_until(single.now + 2);
   single.ends("p1", 0, Result::kCancelled);
   std::string trace = "no second copies\n" + single.taken();
@@ -638,3 +641,65 @@
   CHECK(tries(false) == 2);
   CHECK(tries(true) == 1);
 }
+
+TEST_CASE("without second copies a late hand-off goes on, unless its node is out or such have not come") {
+  // Rounds of one that is late and one that is answered at once; the late one comes after all, or never.
+  const auto cancels = [](int rounds, bool comes, bool heard) {
+    Rig rig(Settings{{"Permissions.SecondCopies", "false"}});
+    rig.list(ListScope::kCached, "c1 P1 O");
+    for (int i = 0; i < rounds; ++i) {
+      const std::string late = named("late", i), quick = named("quick", i);
+      rig.pull(late, static_cast<std::uint64_t>(i));
+      const Seconds start = rig.now;
+      if (rig.node_of[late].empty()) continue;
+      rig.after(0.01);
+      rig.pull(quick, static_cast<std::uint64_t>(100 + i));
+      if (heard) rig.ends(quick, 0, Result::kCompleted, Note::kFilled, 0.4);
+      rig.run_until(start + (comes ? 0.85 : 4));
+      rig.director->hand_off_ended(rig.now, {late}, {0}, {"c1"},
+                                   comes ? Result::kCompleted : Result::kTimedOut, Note::kFilled, 0.1,
+                                   rig.now - start, {}, true);
+    }
+    const std::string trace = rig.taken();
+    int count = 0;
+    for (auto at = trace.find("cancel"); at != std::string::npos; at = trace.find("cancel", at + 1)) ++count;
+    return count;
+  };
+  CHECK(cancels(1, false, true) == 0);   // nothing known against it
+  CHECK(cancels(12, true, true) == 0);   // late ones come
+  CHECK(cancels(12, false, true) >= 6);  // late ones are lost
+  CHECK(cancels(2, false, false) >= 1);  // and the node answers nobody: it is out
+}
+
+TEST_CASE(
+    "late fills whose cache and parent are heard, and late writes, cut the origin's part; silence does not") {
+  const auto fetches = [](const std::function<void(Rig&)>& late) {
+    Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
+    rig.list(ListScope::kCached, "c1 P1 O");
+    for (int i = 0; i < 10; ++i) {
+      rig.pull(named("usual", i), static_cast<std::uint64_t>(i));
+      rig.ends(named("usual", i), 0, Result::kCompleted, Note::kFilled, 0.4);
+    }
+    late(rig);
+    int fetching = 0;
+    for (int i = 100; i < 140; ++i) {
+      rig.pull(named("p", i), static_cast<std::uint64_t>(i));
+      fetching += !rig.node_of[named("p", i)].empty() && !rig.held_only_of[named("p", i)];
+      rig.ends(named("p", i), 0, Result::kCompleted, Note::kHit, 0);
+    }
+    return fetching;
+  };
+  const auto fill = [](bool heard) {
+    return [heard](Rig& rig) {
+      rig.pull("late", 50);
+      rig.after(0.01);
+      rig.pull("other", 51);
+      if (heard) rig.ends("other", 0, Result::kCompleted, Note::kFilled, 0.4);
+      rig.run_until(rig.now + 1.2);
+    };
+  };
+  CHECK(fetches([](Rig&) {}) == 40);
+  CHECK(fetches(fill(false)) == 40);
+  CHECK(fetches(fill(true)) < 36);
+  CHECK(fetches([](Rig& rig) { rig.pull("w", 900, 2), rig.run_until(rig.now + 1.5); }) < 36);
+}
