Lateness tells of the origin by short fills and beyond its usual wait; its part grows slower

A write was late after 0.15 s, less than a write takes.

Change: growth is a fifth of the pulls a second; lots go by size again; only fills under 0.1 s of sending tell of the origin by their lateness; at the origin itself the usual wait there goes on top of the expected time.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -58,7 +58,7 @@
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
 constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
-constexpr double kOriginGrow = 0.5;   // of the pulls a second: more of them as its answers come in good time
+constexpr double kOriginGrow = 0.2;   // of the pulls a second: more of them as its answers come in good time
 constexpr Seconds kOriginCalm = 2.0;  // s without a failure there: after each, twice as many may reach it
 constexpr double kOriginSlow = 5.0;   // x the usual wait for it: more shows a crowd before it refuses
 constexpr double kOriginDeepest = 0.3;  // x: the most that one slow answer cuts
@@ -137,7 +137,7 @@
   std::uint64_t object = 0, unit = 0;
   std::int64_t group = 0;
   Seconds arrived = 0, hard_stop = 0, resume_at = kLongAgo, first_ran = 0;
-  double size_kb = 0, lot = 0, draw = 0;
+  double size_kb = 0, lot = 0;
   bool write = false, hot = false, known = false, no_origin = false, in_vain = false, under_way = false;
   bool over = false, bound = false, may_have_run = false, overdue = false, stale_will_do = false;
   int first_node = kNobody, looks = 0;
@@ -507,7 +507,7 @@
   bool link_open(const Pull& p) { return p.lot <= link_part; }
   // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail
   // there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
-  bool origin_open(const Pull& p) { return is_write(p) || p.draw <= origin_part; }
+  bool origin_open(const Pull& p) { return is_write(p) || p.lot <= origin_part; }
   // It grows by time, not by the number of answers: a director that hears of the origin only now and then
   // would else keep a cut for many seconds after its cause.
   void measure_origin(double keep, Seconds sent) {
@@ -645,6 +645,9 @@
     // As long as a further hand-off could still make the contract time; less for a member on trial, and where
     // lateness alone gives nothing up (late).
     off.patience = off.trial || !second_copies ? kOverdue * wait : std::max(kOverdue * wait, in_hand);
+    // At the origin itself what is usual there goes on top; what takes longer shows a queue.
+    if (is_origin(way.node) && usual_wait.heard())
+      off.patience = wait + std::max(usual_wait.mean(), kLeastWait);
     const int rank = is_write(p) ? 0 : p.hot ? 3 : p.known ? 2 : 1;
     const FillTerms fill = {.source = name[way.source],
                             .rank = rank,
@@ -862,8 +865,11 @@
   }
   // Guards against a queue at the origin that is told of only by answers that have waited in it: who has
   // heard of cache and parent since, but not of the fill, hears of the origin. Meets a slow and a crowded
-  // one; it hurts where a parent's link is slow just then, for as long as its part takes to grow again.
-  bool must_be_the_origin(const HandOff& off) {
+  // one; it hurts where a parent's link is slow just then, for as long as its part takes to grow again. A
+  // fill that takes long to send may be late by that alone.
+  bool must_be_the_origin(const Pull& p, const HandOff& off) {
+    if (is_origin(off.node)) return true;
+    if (send_time(p) >= kMeasurable) return false;
     const auto heard = [&](const std::vector<Seconds>& at, int n) {
       return is_origin(n) || at[n] > off.sent;
     };
@@ -879,7 +885,7 @@
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
     const bool suspected = off.late == 1 && suspect(p, off);
-    if (off.late == 1 && must_be_the_origin(off)) measure_origin(kOriginCut, off.sent);
+    if (off.late == 1 && must_be_the_origin(p, off)) measure_origin(kOriginCut, off.sent);
     if (grade_of(p).effect != Effect::kRetriable) return;
     const bool gone = is_out(off.node) || is_out(off.source);
     // Guards against a late fill for each parent while it is the origin behind all of them that is slow.
@@ -1029,8 +1035,8 @@
   }
   m.all_sends.add(now, m.send_time(p), 1);
   // By object and time, so that neither a client's repeat nor another director draws anew.
-  p.draw = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
-  p.lot = std::min(1.0, p.draw / m.extra(p));
+  const double draw = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
+  p.lot = std::min(1.0, draw / m.extra(p));
   m.pulls.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -689,9 +689,9 @@
     }
     return fetching;
   };
-  const auto fill = [](bool heard) {
-    return [heard](Rig& rig) {
-      rig.pull("late", 50);
+  const auto fill = [](bool heard, double size_kb = 50) {
+    return [heard, size_kb](Rig& rig) {
+      rig.pull("late", 50, 0, size_kb);
       rig.after(0.01);
       rig.pull("other", 51);
       if (heard) rig.ends("other", 0, Result::kCompleted, Note::kFilled, 0.4);
@@ -701,5 +701,6 @@
   CHECK(fetches([](Rig&) {}) == 40);
   CHECK(fetches(fill(false)) == 40);
   CHECK(fetches(fill(true)) < 36);
+  CHECK(fetches(fill(true, 400)) == 40);  // long in sending
   CHECK(fetches([](Rig& rig) { rig.pull("w", 900, 2), rig.run_until(rig.now + 1.5); }) < 36);
 }
