Repeats of fingerprinted pulls end inside the window in which they are dropped

Change: a further hand-off needs the time it is expected to take inside the window, counted from the send of the first that may have run, and is timed out at the window's end. A bounce needs the advised wait and that time too; else the pull is forfeited. Guards as well against clocks of the load that stretch hand-offs; it hurts where windows are hardly longer than a hand-off: no repeat then.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -425,12 +425,14 @@
   }
   bool hand_offs_left(const Pull& p) const { return static_cast<double>(p.offs.size()) < max_attempts; }
 
-  // Rule 2: a fingerprinted pull that may have run stays in the group that knows the repeat, in its window.
+  // Rule 2: a fingerprinted pull that may have run stays in the group that knows the repeat, and a further
+  // hand-off must end, not only begin, while repeats are dropped there: past the window it would run again.
+  Seconds window_left(const Pull& p) { return p.first_ran + grade_of(p).window - now; }
+  bool is_repeat(const Pull& p) { return p.may_have_run || p.out() > 0; }
   bool may_go_to(const Pull& p, int n) {
     const Grade& grade = grade_of(p);
-    if (grade.effect == Effect::kRetriable || (!p.may_have_run && p.out() == 0)) return true;
-    if (grade.effect == Effect::kBinding) return false;
-    if (now > p.first_ran + grade.window) return false;
+    if (grade.effect == Effect::kRetriable || !is_repeat(p)) return true;
+    if (grade.effect == Effect::kBinding || window_left(p) <= expected(p)) return false;
     if (grade.group == "zone") return zone[n] == zone[p.first_node];
     if (grade.group == "cell") return cell[n] == cell[p.first_node];
     return grade.group == "all";
@@ -657,12 +659,13 @@
                             .renew = grade_of(p).fresh > 0};
     const bool repeatable = grade_of(p).effect == Effect::kRetriable;
     const bool call_back = second_copies || may_cancel;
-    if (p.out() == 0 && !p.may_have_run) p.first_node = way.node, p.first_ran = now;
+    const Seconds window = grade_of(p).effect == Effect::kFingerprinted && is_repeat(p) ? window_left(p) : 0;
+    if (!is_repeat(p)) p.first_node = way.node, p.first_ran = now;
     p.offs.push_back(off);
     p.overdue = false;
     work_out[way.node] += send_time(p);
     ++out_here[way.node], ++out_from[way.source];
-    actions.hand_off(p.id, name[way.node], fill, repeatable && !call_back ? off.patience : 0);
+    actions.hand_off(p.id, name[way.node], fill, repeatable && !call_back ? off.patience : window);
     if ((repeatable && call_back) || is_origin(off.node)) watch(p, p.offs.size() - 1, off.patience);
   }
 
@@ -694,18 +697,19 @@
   void forfeit(Pull& p) { p.over = true, actions.forfeit(p.id); }
 
   // Rule 2: a binding pull that may have run gets no further hand-off, and no promise; nor does a
-  // fingerprinted one whose mark may be forgotten by now.
+  // fingerprinted one whose mark may be forgotten before its repeat, or its client's, has ended.
   bool is_spent(const Pull& p) {
     const Grade& grade = grade_of(p);
     const bool binding = grade.effect == Effect::kBinding;
-    const bool late_copy = grade.effect == Effect::kFingerprinted && now > p.first_ran + grade.window;
+    const bool late_copy = grade.effect == Effect::kFingerprinted && window_left(p) <= expected(p);
     const bool stuck = p.may_have_run && (binding || late_copy);
     return idle(p) && (stuck || !hand_offs_left(p) || !time_for_another(p));
   }
   void give_up(Pull& p) {
     const Grade& grade = grade_of(p);
     const bool harmless = grade.effect == Effect::kRetriable || (!p.may_have_run && p.out() == 0) ||
-                          (grade.effect == Effect::kFingerprinted && grade.group == "all");
+                          (grade.effect == Effect::kFingerprinted && grade.group == "all" &&
+                           window_left(p) > most_advice + expected(p));
     if (!harmless) return forfeit(p);
     p.over = true;
     const double draw = std::uniform_real_distribution<double>(0.5, 1)(chance);
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -704,3 +704,22 @@
   CHECK(fetches(fill(true, 400)) == 40);  // long in sending
   CHECK(fetches([](Rig& rig) { rig.pull("w", 900, 2), rig.run_until(rig.now + 1.5); }) < 36);
 }
+
+TEST_CASE("rule 2: a fingerprinted pull's repeat ends while repeats are dropped, and so may its client's") {
+  const auto after_errors = [](Seconds first, Seconds second) {
+    Rig rig(Settings{{"RequestClasses.3.Group", "all"}, {"Permissions.MaxAttempts", "2"}});
+    rig.list(ListScope::kCached, "c1 P1 O");
+    rig.pull("f", 1, 3);
+    rig.ends("f", 0, Result::kError, Note::kNone, first);
+    if (rig.node_of["f"].size() > 1) rig.ends("f", 1, Result::kError, Note::kNone, second);
+    return rig.taken();
+  };
+  // A window of 2 s; a hand-off is expected to take 0.675 s, a client is sent away for 1 s at most.
+  CHECK(after_errors(0.1, 0.1).find("time-out 1.900 s") != std::string::npos);
+  CHECK(after_errors(0.1, 0.1).find("bounce") != std::string::npos);
+  CHECK(after_errors(0.1, 0.5).find("forfeit") != std::string::npos);
+  CHECK(after_errors(1.2, 0.1).find("time-out 0.800 s") != std::string::npos);
+  const std::string too_late = after_errors(1.5, 0.1);
+  CHECK(too_late.find("time-out") == std::string::npos);
+  CHECK(too_late.find("forfeit") != std::string::npos);
+}
