Fills far slower than hits stand in for the report of a full link

Ruled out: cold budgets (refusals fell while lateness rose) and the origin (its part is whole there).

Change: where no x1 was told, the time that fills take for their bytes, their wait left out, is held against the time that hits take; twice as much counts as a link just full, and the part of the pulls that may fill follows as from a report. It also answers a slow way to all sources; it could do harm where one crowded parent gives most of a director's fills.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -51,6 +51,8 @@
 constexpr double kGrowFirst = 0.5;   // transfers: the same until its first crowd: nothing may tell of a link
 constexpr double kNearLimit = 0.7;   // of its room in use: below it a good answer proves nothing
 constexpr double kSizes = 2.5;       // x the mean sending time, or a part of it: beyond, size counts no more
+constexpr double kDragFull = 2.0;    // x a hit's time for its bytes: a fill that takes more shows a full link
+constexpr int kFillsTell = 2;        // fills that one judgement of the link rests on
 constexpr double kLinkCut = 0.5;     // x: the most that one report of a full link takes off the part of pulls
 constexpr double kLinkGrow = 0.2;    // of the pulls: that many more may fill at a report of an empty link
 constexpr double kLinkLeast = 0.05;  // of the pulls: fewer would leave the caches behind it cold for good
@@ -770,6 +772,7 @@
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         serve_rate[c].add(now, p.size_kb, 1);
         if (measurable && !filled) measure_room(c, out_here[c] + 1, crowded, off.sent);
+        if (measurable && note == Note::kHit) hit_drag.add(now, spent, send_time(p));
         // A fill that never took place is taken off the source's budget, at the time it was charged: a later
         // entry would outlive the charge and let more through than the budget holds.
         if (asked && !filled && off.source_charge > 0) ledger[s].emplace_back(off.sent, -off.source_charge);
@@ -780,6 +783,7 @@
         if (measurable) {
           measure_room(s, (out_from[s] + 1) * misses.mean(), crowded, off.sent);
           fill_rate[s].add(now, p.size_kb, spent);
+          if (!is_cache_kind(s)) measure_link(spent - waited, send_time(p));
           if (by_origin) origin_rate.add(now, p.size_kb, spent);
         }
         if (by_origin) measure_origin(origin_pace(waited), off.sent);
@@ -829,13 +833,26 @@
     const auto node = index.find(id.value);
     const auto link = report.find("x1");
     if (node == index.end() || link == report.end() || !is_cache(node->second)) return;
+    link_told = true;
+    hear_link(link->second / kLinkFull);
+  }
+  void hear_link(double fullness) {
     if (now - link_heard < kReportEvery) return;
     link_heard = now;
     // In proportion to what is too much or too little: steps of one size swung between shut and open.
-    const double fullness = link->second / kLinkFull;
     link_part = fullness > 1 ? std::max(kLinkLeast, link_part * std::max(kLinkCut, 1 / fullness))
                              : std::min(1.0, link_part + kLinkGrow * (1 - fullness));
   }
+  // Stands in for the report where no node tells how full the location's link is: past it a fill is no slower
+  // than a hit until the link is full, whichever source it comes from. Its wait for the source is left out.
+  // Meets a slow link of all sources too; it hurts where a crowd at one parent slows most of our fills.
+  void measure_link(Seconds sending, double bare) {
+    fill_drag.first += sending, fill_drag.second += bare;
+    if (link_told || !hit_drag.heard() || now - link_heard < kReportEvery || ++fills_seen < kFillsTell)
+      return;
+    hear_link(fill_drag.first / fill_drag.second / (kDragFull * hit_drag.mean()));
+    fill_drag = {}, fills_seen = 0;
+  }
 
   // Who is to blame for a hand-off that stays out: the cache if not heard of since, else the source if
   // nothing has come from it since. If both have been heard of, they are slow, and no other would be faster.
@@ -948,7 +965,10 @@
   Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo, origin_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, usual_wait, misses, all_sends, false_caches, false_parents;
-  Average in_time, late_comers;
+  Average in_time, late_comers, hit_drag;
+  std::pair<Seconds, double> fill_drag;
+  int fills_seen = 0;
+  bool link_told = false;
 
   std::unordered_map<std::string, int> index;
   std::vector<NodeId> name;
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -723,3 +723,32 @@
   CHECK(too_late.find("time-out") == std::string::npos);
   CHECK(too_late.find("forfeit") != std::string::npos);
 }
+
+TEST_CASE("where no report tells of the link, fills far slower than hits thin out fills") {
+  const auto fills = [](Seconds fill, bool told) {
+    Rig rig;
+    rig.list(ListScope::kCached, "c1 P1 P2 O");
+    for (int i = 0; i < 40; ++i) {  // fewer than a fill's time apart: no room is in question
+      const std::string id = named("before", i);
+      rig.pull(id, static_cast<std::uint64_t>(i));
+      if (rig.node_of[id].empty()) continue;
+      const bool hit = i % 2 == 0;
+      rig.now += hit ? 0.5 : fill;
+      rig.director->hand_off_ended(rig.now, {id}, {0}, {"c1"}, Result::kCompleted,
+                                   hit ? Note::kHit : Note::kFilled, 0, hit ? 0.5 : fill,
+                                   told ? LoadReport{{"x1", 0.5}} : LoadReport{}, true);
+    }
+    int filling = 0;
+    for (int i = 100; i < 140; ++i) {
+      const std::string id = named("p", i);
+      rig.pull(id, static_cast<std::uint64_t>(i));
+      filling += !rig.node_of[id].empty() && rig.source_of[id] != rig.node_of[id][0];
+      if (!rig.node_of[id].empty()) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.0);
+    }
+    return filling;
+  };
+  CHECK(fills(0.5, false) == 40);
+  CHECK(fills(0.8, false) == 40);
+  CHECK(fills(2.0, false) < 20);
+  CHECK(fills(2.0, true) == 40);  // the report goes before it
+}
