Late hand-offs are given up only with a node left out; a later start brings it back in

Change: the odds are gone; where second copies are not allowed a late hand-off is called off once its node or source is left out. A start that the list tells, later than a node was left out, takes it back in with no strikes; its cold budget holds as for any start.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -66,7 +66,6 @@
 constexpr double kOriginDeepest = 0.3;  // x: the most that one slow answer cuts
 constexpr Seconds kLeastWait = 0.02;    // s: waits under this tell of the way there, not of a crowd
 constexpr double kOriginLeast = 0.05;   // of the pulls: fewer would not tell when the origin is back
-constexpr double kWorthIt = 0.5;      // x the odds of a new hand-off: under it a late one is given up for it
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: about so long before a write turned away asks the origin again
@@ -128,8 +127,7 @@
 struct HandOff {
   int node = kNobody, source = kNobody;
   Seconds sent = 0, patience = 0;
-  bool out = true, cancelled = false, trial = false, in_room = true;
-  int late = 0;
+  bool out = true, cancelled = false, trial = false, in_room = true, late = false;
   double source_charge = 0;
 };
 
@@ -408,6 +406,7 @@
     if (at <= launched[n]) return;
     launched[n] = at;
     fill_rate[n] = held_share[n] = serve_rate[n] = Average();
+    if (at > out_since[n]) strikes[n] = 0, out_since[n] = kLongAgo;  // what was silent runs no more
   }
 
   // --- figures of a pull ---
@@ -766,8 +765,6 @@
         const bool filled = note == Note::kFilled || note == Note::kFilledByOrigin;
         const bool measurable = p.size_kb > 0 && send_time(p) >= kMeasurable && spent > 0;
         const bool crowded = is_crowded(p, spent);
-        if (off.late == 0) in_time.add(now, 1, 1);
-        if (off.late == 1) late_comers.add(now, 1, 1);
         if (asked) misses.add(now, filled ? 1 : 0, 1);
         if (spent > 0) pace.add(now, spent, send_time(p) + kSetup);
         serve_rate[c].add(now, p.size_kb, 1);
@@ -876,14 +873,6 @@
     const auto found = pulls.find(id);
     return found == pulls.end() ? nullptr : &found->second;
   }
-  // Guards against giving up what would still have come, where a further hand-off costs the one that is out:
-  // of those late for the first time, how many come within the time of a new one, and how many are in time at
-  // all? Who has seen none believes in them. Meets slow nodes and sources, crowds, and answers that are lost;
-  // it hurts for the first few losses, which wait.
-  bool still_comes() {
-    const auto odds = [&](Average& of) { return of.add(now, 0, 0), (of.sum + 1) / (of.weight + 1); };
-    return odds(late_comers) >= kWorthIt * odds(in_time);
-  }
   // Guards against a queue at the origin that is told of only by answers that have waited in it: who has
   // heard of cache and parent since, but not of the fill, hears of the origin. Meets a slow and a crowded
   // one; it hurts where a parent's link is slow just then, for as long as its part takes to grow again. A
@@ -901,28 +890,27 @@
     Pull& p = *held(id);
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
-    if (++off.late == 1) in_time.add(now, 0, 1);
-    if (off.late == 2) late_comers.add(now, 0, 1);
+    const bool first = !std::exchange(off.late, true);
+    if (first && must_be_the_origin(p, off)) measure_origin(kOriginCut, off.sent);
+    if (grade_of(p).effect != Effect::kRetriable) return;
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
-    const bool suspected = off.late == 1 && suspect(p, off);
-    if (off.late == 1 && must_be_the_origin(p, off)) measure_origin(kOriginCut, off.sent);
-    if (grade_of(p).effect != Effect::kRetriable) return;
-    const bool gone = is_out(off.node) || is_out(off.source);
-    // Guards against a late fill for each parent while it is the origin behind all of them that is slow.
-    // Hurts where a parent vanishes just then: its fills wait out their time until strikes leave it out.
-    const bool by_origin = is_parent(off.source) && origin_part < 1 && heard_at[off.node] >= off.sent;
-    if (second_copies ? suspected && !by_origin : gone || !still_comes()) {
-      const bool can_fill = !p.in_vain || spare_fills >= 1;
-      if (second_copies) {
-        p.overdue = true;
-      } else if (can_fill && time_for_another(p) && hand_offs_left(p)) {
-        off.cancelled = true;
-        actions.cancel(id, {static_cast<int>(place)});
-      }
-      touched.push_back(id);
+    const bool suspected = first && suspect(p, off);
+    watch(p, place, expected(p));
+    if (second_copies) {
+      // Guards against a late fill for each parent while it is the origin behind all of them that is slow.
+      // Hurts where a parent vanishes just then: its fills wait out their time until strikes leave it out.
+      if (is_parent(off.source) && origin_part < 1 && heard_at[off.node] >= off.sent) return;
+      p.overdue = suspected;
+    } else {
+      // Guards against giving up what would still have come, where a further hand-off costs the one that is
+      // out: most late ones come, and each made anew asks one more parent, and the origin, for the same.
+      // Meets slow nodes, slow sources and crowds; it hurts where answers are lost, which wait to the end.
+      const bool gone = is_out(off.node) || is_out(off.source), can_fill = !p.in_vain || spare_fills >= 1;
+      off.cancelled = gone && can_fill && time_for_another(p) && hand_offs_left(p);
+      if (off.cancelled) actions.cancel(id, {static_cast<int>(place)});
     }
-    if (!off.cancelled) watch(p, place, expected(p));
+    touched.push_back(id);
   }
   void watch(const Pull& p, std::size_t place, Seconds time) {
     if (now + time < p.hard_stop)
@@ -965,7 +953,7 @@
   Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo, origin_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, usual_wait, misses, all_sends, false_caches, false_parents;
-  Average in_time, late_comers, hit_drag;
+  Average hit_drag;
   std::pair<Seconds, double> fill_drag;
   int fills_seen = 0;
   bool link_told = false;
