A fill tells of the origin only once it waits longer than is usual there, and cuts by a half

Change: a fill must be out for its expected time and the usual wait at the origin before it is laid to it. What is late then has queued unseen for a while, so it cuts by a half in place of three tenths.

The new check fails on the module before this commit.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -60,6 +60,7 @@
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
 constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
 constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
+constexpr double kOriginLate = 0.5;   // x: the same for what is late there: it has queued a while unseen
 constexpr double kOriginGrow = 0.2;   // of the pulls a second: more of them as its answers come in good time
 constexpr Seconds kOriginCalm = 2.0;  // s without a failure there: after each, twice as many may reach it
 constexpr double kOriginSlow = 5.0;   // x the usual wait for it: more shows a crowd before it refuses
@@ -884,6 +885,7 @@
   bool must_be_the_origin(const Pull& p, const HandOff& off) {
     if (is_origin(off.node)) return true;
     if (send_time(p) >= kMeasurable) return false;
+    if (now - off.sent < expected(p) + (usual_wait.heard() ? usual_wait.mean() : 0)) return false;
     // Silence blames a node only where it would have been heard of by now. A director with few pulls hears of
     // nobody in that time: past the contract time a trouble of the origin, once known, is the likelier.
     const bool past = origin_part < 1 && now - p.arrived > contract_time(p);
@@ -900,7 +902,7 @@
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
     const bool first = !std::exchange(off.late, true);
-    if (must_be_the_origin(p, off)) measure_origin(kOriginCut, off.sent);
+    if (must_be_the_origin(p, off)) measure_origin(kOriginLate, off.sent);
     if (grade_of(p).effect != Effect::kRetriable) return;
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -702,6 +702,12 @@
   CHECK(fetches(fill(false)) == 40);
   CHECK(fetches(fill(true)) < 36);
   CHECK(fetches(fill(true, 400)) == 40);  // long in sending
+  CHECK(fetches([&](Rig& rig) {           // no longer than is usual at the origin
+          rig.pull("usual-wait", 30);
+          rig.director->hand_off_ended(rig.now, {"usual-wait"}, {0}, {"c1"}, Result::kCompleted,
+                                       Note::kFilledByOrigin, 2.0, 0.4, {}, true);
+          fill(true)(rig);
+        }) == 40);
   // Once the origin is in trouble, silence past the contract time is laid to it where no news were due.
   const auto in_trouble = [&](bool late, Seconds without_news) {
     return [late, without_news](Rig& rig) {
