Wakes of a late hand-off are no closer than a hand-off's fixed part

Need: where times are short a late hand-off was looked at again each expected time, a few ms at the least, up to its hard stop; everything is bounded.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -907,7 +907,7 @@
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
     const bool suspected = first && suspect(p, off);
-    watch(p, place, expected(p));
+    watch(p, place, std::max(expected(p), kSetup));  // bounds the wakes of one hand-off
     if (second_copies) {
       // Guards against a late fill for each parent while it is the origin behind all of them that is slow.
       // Hurts where a parent vanishes just then: its fills wait out their time until strikes leave it out.
