Lateness at the origin is held against the answers that came in good time

Few directors with hundreds of pulls a second each always have a late one somewhere, and each cut the origin's part by a half.

Change: the cut is a half if no answer came in good time since the last late one, and by so much less as there were more.

The new check fails on the module before this commit.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -518,6 +518,7 @@
   // would else keep a cut for many seconds after its cause.
   void measure_origin(double keep, Seconds sent) {
     if (keep >= 1) {
+      ++origin_good;
       const Seconds since = std::min(1.0, now - std::max(origin_heard, origin_cut_at));
       origin_part = std::min(1.0, origin_part + kOriginGrow * since), origin_heard = now;
     }
@@ -902,7 +903,11 @@
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
     const bool first = !std::exchange(off.late, true);
-    if (must_be_the_origin(p, off)) measure_origin(kOriginLate, off.sent);
+    if (must_be_the_origin(p, off) && off.sent > origin_cut_at) {
+      // One among many in good time is chance: what came well since the last late one softens the cut.
+      measure_origin(1 - (1 - kOriginLate) / (1 + origin_good), off.sent);
+      origin_good = 0;
+    }
     if (grade_of(p).effect != Effect::kRetriable) return;
     // Guards against waits on a slow source that keep hits out: a late fill gives its cache's room back.
     if (off.source != off.node) out_here[off.node] -= std::exchange(off.in_room, false);
@@ -960,7 +965,7 @@
   Seconds most_advice = 0, period = 0, purge_done = 0, parent_warms = 0, cache_warms = 0, fall_span = 0;
   std::uint64_t list_turn = 1;
   std::vector<int> all_parents, own_caches;
-  double flow = 0, link_part = 1, origin_part = 1, spare_fills = kSaved;
+  double flow = 0, link_part = 1, origin_part = 1, spare_fills = kSaved, origin_good = 0;
   Seconds link_heard = kLongAgo, origin_cut_at = kLongAgo, origin_calm_at = kLongAgo, origin_heard = kLongAgo;
   ListScope scope = ListScope::kCached;
   Average pace, origin_rate, usual_wait, misses, all_sends, false_caches, false_parents;
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -702,7 +702,14 @@
   CHECK(fetches(fill(false)) == 40);
   CHECK(fetches(fill(true)) < 36);
   CHECK(fetches(fill(true, 400)) == 40);  // long in sending
-  CHECK(fetches([&](Rig& rig) {           // no longer than is usual at the origin
+  CHECK(fetches([](Rig& rig) {            // one late write among many answers in good time is chance
+          for (int i = 200; i < 240; ++i) {
+            rig.pull(named("good", i), static_cast<std::uint64_t>(i));
+            rig.ends(named("good", i), 0, Result::kCompleted, Note::kFilledByOrigin, 0.1);
+          }
+          rig.pull("w", 900, 2), rig.run_until(rig.now + 1.5);
+        }) > 36);
+  CHECK(fetches([&](Rig& rig) {  // no longer than is usual at the origin
           rig.pull("usual-wait", 30);
           rig.director->hand_off_ended(rig.now, {"usual-wait"}, {0}, {"c1"}, Result::kCompleted,
                                        Note::kFilledByOrigin, 2.0, 0.4, {}, true);
