--- /dev/null
+++ b/experiments/capacity/simulated_director.cpp
@@ -0,0 +1,41 @@
+#include "capacity/simulated_director.hpp"
+
+#include <fmt/format.h>
+
+namespace hareramp::capacity {
+
+std::string director_configuration(const DirectorPlan& plan) {
+  return fmt::format(
+      R"({{"name":"director","listen":"{0}","seed":"8c1f30d27a5be964","changelog":"{1}",
+"limits":{{"cores":1.0,"memory_mb":{2},"sockets":{3}}},
+"known":{{"seq":0,"results":[{4}]}},
+"settings":{{"Balancers":{5},"Kinds":["cache","parent","origin"],"Zones":["hub","edge"],"Locality":1,
+"MembershipMode":"push","Weights":"nominal",
+"Contract":{{"ColdS":60.0,"DrainGraceS":1.0,"FallMultiple":2.0,"FallS":3.0,"StartCapacity":0.1}},
+"FamilyInfo":{{"CanJoin":false,"Direct":true,"GoesThrough":[false,true],"GoodForS":[0.0,0.0],"OriginKind":2,
+"ParentColdFrom":0.1,"ParentLimitFactor":2.0,"ParentWarmsInS":60.0,"PeersFill":"none","PurgeDoneS":6.0,
+"PurgeSlackS":0.5,"SeatsByZone":[0,{5}],"ShieldKind":1,"StaleForS":[0.0,0.0],"StreamKbPerS":4600.0,"Tells":"all"}},
+"Permissions":{{"Cancel":true,"ConnIdleS":15.0,"ConnectTimeoutS":0.4,"MaxAttempts":6,"MaxRetryAfterS":2.0,
+"RetryAfter":true,"SecondCopies":true,"StreamsPerConn":100}},
+"RequestClasses":[{{"Name":"segment","AimStretch":2.0,"DeadlineS":3.0,"Effect":"retryable","PromiseS":1.0}},
+{{"Name":"note","DeadlineS":3.0,"Effect":"fragile","PromiseS":0.8}}]}}}})",
+      plan.listen, plan.change_stream, plan.memory_mb, plan.descriptors,
+      plan.known.empty()
+          ? ""
+          : fmt::format(R"({{"seq":0,"fleet":{{"version":1,"full":true,"servers":[{}]}}}})", plan.known),
+      plan.directors);
+}
+
+SimulatedDirector::SimulatedDirector(transport::Scheduler& scheduler, const program::Config& config, Log& log,
+                                     std::uint64_t seed)
+    : config_(config),
+      module_(scheduler, config.limits, counters_, log, config.names, config.settings, seed),
+      change_log_(scheduler, config.limits, counters_, log, config.change_log, config.change_log_host,
+                  config.known_to, module_) {}
+
+void SimulatedDirector::start() {
+  module_.start();
+  change_log_.start(config_.known);
+}
+
+}  // namespace hareramp::capacity
--- /dev/null
+++ b/experiments/capacity/simulated_director.hpp
@@ -0,0 +1,46 @@
+// A director without its port for clients: the subscription to the change stream on a real socket, the table
+// of nodes with an actor each, the decision module with its timers, and the counters. Many share one
+// scheduler.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/counters.hpp"
+#include "base/log.hpp"
+#include "program/config.hpp"
+#include "routing/change_log.hpp"
+#include "routing/module.hpp"
+#include "transport/scheduler.hpp"
+
+namespace hareramp::capacity {
+
+// What every director of an experiment is configured with.
+struct DirectorPlan {
+  std::string change_stream = {};          // address and port
+  std::string listen = "127.0.0.1:1";      // unused by simulated directors
+  int directors = 4500;                    // that the settings name
+  int memory_mb = 64, descriptors = 1024;  // of the platform
+  std::string known = {};                  // entries known at the start, separated by commas
+};
+// The text of a director's configuration.
+std::string director_configuration(const DirectorPlan& plan);
+
+class SimulatedDirector {
+ public:
+  // The configuration and the log are shared by all and outlive them.
+  SimulatedDirector(transport::Scheduler& scheduler, const program::Config& config, Log& log,
+                    std::uint64_t seed);
+  void start();
+  const Counters& counters() const { return counters_; }
+  long long last_event() const { return change_log_.last(); }
+
+ private:
+  const program::Config& config_;
+  Counters counters_;
+  routing::ModuleActor module_;
+  routing::ChangeLog change_log_;
+};
+
+}  // namespace hareramp::capacity
