--- a/experiments/capacity/main.cpp
+++ b/experiments/capacity/main.cpp
@@ -55,9 +55,13 @@
       "rate", po::value(&setup.rate)->default_value(100), "purges/s")(
       "backlog", po::value(&source.backlog), "source: purges that are there at the start")(
       "node-changes", po::value(&source.node_changes), "source: among them")(
+      "backlog-later", po::bool_switch(&source.backlog_later), "source: keeps them back until SIGALRM")(
+      "first-purge", po::value(&source.first_purge), "source: number of the first")(
+      "listen", po::value(&source.listen), "source: address and port")(
+      "compressed", po::bool_switch(&directors.compressed), "directors: ask for gzip")(
       "list", po::value(&source.list), "source: file with the entries of the whole list")(
-      "count", po::value(&directors.count), "directors: how many")("source", po::value(&directors.source),
-                                                                   "directors: address of the change stream")(
+      "count", po::value(&directors.count), "directors: how many")(
+      "source", po::value(&directors.source), "directors: addresses of the change stream")(
       "until", po::value(&directors.until), "directors: ready once told this event")(
       "spread", po::value(&directors.spread_s), "directors: s over which they start");
   po::variables_map given;
--- a/experiments/capacity/stream_source.hpp
+++ b/experiments/capacity/stream_source.hpp
@@ -25,7 +25,8 @@
 class StreamSource {
  public:
   // Event 1 is the whole list: these entries, or so many nodes that nobody plays.
-  StreamSource(transport::Scheduler& scheduler, int nodes, std::string entries = "");
+  StreamSource(transport::Scheduler& scheduler, const std::string& listen, int nodes,
+               std::string entries = "");
 
   transport::Address address() const { return address_; }
   const SourceUse& use() const { return use_; }
--- /dev/null
+++ b/src/distribution/change.cpp
@@ -0,0 +1,56 @@
+#include "distribution/change.hpp"
+
+#include <fmt/format.h>
+
+#include "protocol/events.hpp"
+
+namespace hareramp::distribution {
+
+namespace {
+
+NodeList read_nodes(const protocol::Json& fleet) {
+  NodeList nodes;
+  nodes.whole = fleet["full"].truth();
+  nodes.version = fleet["version"].text();
+  for (const protocol::Json& entry : fleet["servers"].items())
+    nodes.entries.push_back({entry["id"].text(), protocol::to_text(entry), entry["state"].text() == "left"});
+  return nodes;
+}
+
+std::optional<Purge> read_purge(const protocol::Json& invalidate) {
+  Purge purge;
+  purge.unix_ms = invalidate["time"].number(0);
+  if (const auto group = invalidate["bucket"].whole()) {
+    purge.subject = {PurgeSubject::Kind::kGroup, static_cast<std::uint64_t>(*group)};
+    return purge;
+  }
+  ObjectId object;
+  if (!protocol::read_object(invalidate["object"].text(), object)) return {};
+  purge.subject = {PurgeSubject::Kind::kObject, object.value};
+  return purge;
+}
+
+}  // namespace
+
+Change read_change(const protocol::Json& change) {
+  Change read;
+  for (const auto& [name, value] : change.members()) {
+    if (name == "seq") continue;
+    if (name == "fleet") read.nodes = read_nodes(value);
+    if (name == "invalidate") read.purge = read_purge(value);
+    read.members +=
+        fmt::format("{}\"{}\":{}", read.members.empty() ? "" : ",", name, protocol::to_text(value));
+  }
+  return read;
+}
+
+std::string encode_event(long long number, const std::string& members) {
+  return fmt::format("id: {0}\ndata: {{\"seq\":{0}{1}{2}}}\n\n", number, members.empty() ? "" : ",", members);
+}
+
+std::string whole_list_members(const std::string& version, const std::vector<std::string>& entries) {
+  return fmt::format(R"("fleet":{{"version":{},"full":true,"servers":[{}]}})",
+                     version.empty() ? "0" : version, fmt::join(entries, ","));
+}
+
+}  // namespace hareramp::distribution
--- a/src/routing/change_receiver.hpp
+++ b/src/distribution/change_receiver.hpp
@@ -7,17 +7,22 @@
 
 #include "protocol/json.hpp"
 
-namespace hareramp::routing {
+namespace hareramp::distribution {
+
+struct NumberedChange {
+  long long number = 0;  // its place in the stream; 0: it has none
+  protocol::Json change;
+};
 
 class ChangeReceiver {
  public:
   virtual ~ChangeReceiver() = default;
-  // One change that was known before the stream was read (known), or one told beside it. Only posts.
-  virtual void change_arrived(protocol::Json change, bool known) = 0;
+  // A change that was known before the stream was read. Only posts.
+  virtual void known_change_arrived(protocol::Json change) = 0;
   // Changes of the stream, in order. Only posts; done is called once, with whether all of them were taken in:
   // false has them read again. more_waits: the stream had more to read just then.
-  virtual void changes_arrived(std::vector<protocol::Json> changes, bool more_waits,
+  virtual void changes_arrived(std::vector<NumberedChange> changes, bool more_waits,
                                std::function<void(bool taken)> done) = 0;
 };
 
-}  // namespace hareramp::routing
+}  // namespace hareramp::distribution
--- /dev/null
+++ b/src/distribution/snapshot.cpp
@@ -0,0 +1,86 @@
+#include "distribution/snapshot.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "distribution/epoch.hpp"
+
+namespace hareramp::distribution {
+
+using transport::Seconds;
+
+namespace {
+constexpr Seconds kClockTolerance = 5;  // s that the issuer's clock and ours may differ by
+}
+
+Snapshot::Snapshot(Seconds purge_lifetime, std::size_t purges_most)
+    : purge_lifetime_(purge_lifetime), purges_most_(purges_most) {}
+
+void Snapshot::add(Seconds now, double unix_now, long long number, const Change& change) {
+  if (change.nodes) {
+    const NodeList& list = *change.nodes;
+    if (list.whole) {
+      nodes_.clear();
+      has_list_ = true;
+    }
+    for (const NodeEntry& entry : list.entries) {
+      if (entry.gone)
+        nodes_.erase(entry.id);
+      else
+        nodes_[entry.id] = entry.text;
+    }
+    list_number_ = number;
+    list_version_ = list.version;
+  }
+  if (!change.purge) return;
+  if (unix_now - change.purge->unix_ms / 1000 > purge_lifetime_ + kClockTolerance) return;
+  LivePurge& kept = purges_[change.purge->subject];
+  kept.number = number;
+  if (change.purge->unix_ms >= kept.unix_ms) {  // else the one told before bounds more
+    kept.unix_ms = change.purge->unix_ms;
+    kept.members = change.members;
+  }
+  expiries_.push_back({now + purge_lifetime_, change.purge->subject, number});
+}
+
+void Snapshot::expire(Seconds now) {
+  while (!expiries_.empty() && expiries_.front().at <= now) {
+    const auto purge = purges_.find(expiries_.front().subject);
+    // A later purge of the same subject lives on.
+    if (purge != purges_.end() && purge->second.number == expiries_.front().number) purges_.erase(purge);
+    expiries_.pop_front();
+  }
+}
+
+EncodedPiece Snapshot::after(long long cursor, long long last) const {
+  std::vector<std::pair<long long, std::string>> events;
+  if (list_number_ > cursor) {
+    std::vector<std::string> entries;
+    for (const auto& [id, text] : nodes_) entries.push_back(text);
+    events.emplace_back(list_number_, whole_list_members(list_version_, entries));
+  }
+  for (const auto& [subject, purge] : purges_)
+    if (purge.number > cursor) events.emplace_back(purge.number, purge.members);
+  std::sort(events.begin(), events.end());
+  std::string plain;
+  for (const auto& [number, members] : events) plain += encode_event(number, members);
+  return encode_piece(std::move(plain), last);
+}
+
+long long Snapshot::oldest() const {
+  long long least = list_number_;
+  for (const auto& [subject, purge] : purges_) least = std::min(least, purge.number);
+  return least;
+}
+
+void Snapshot::move_epoch(long long from, long long to) {
+  const auto move = [&](long long& number) {
+    if (epoch_of(number) == from) number = numbered(to, number);
+  };
+  move(list_number_);
+  for (auto& [subject, purge] : purges_) move(purge.number);
+  for (Expiry& expiry : expiries_) move(expiry.number);
+}
+
+}  // namespace hareramp::distribution
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "program/operator.hpp"
+#include "program/relay.hpp"
 #include "program/serve.hpp"
 
 namespace hareramp::program {
@@ -37,7 +38,18 @@
   return serve(load_config(paths.config), paths.config, paths.operator_file, log);
 }
 
+int run_relay(const Paths& paths, std::FILE*, std::FILE* err) {
+  Log log(fileno(err));
+  return relay(load_operator(paths.operator_file, kUsualMemory), paths.operator_file, log);
+}
+
 void print_operator(const OperatorFile& file, std::FILE* out) {
+  if (file.change_stream.enabled)
+    fmt::print(out, "operator's file: the change stream from {} relays\n", file.change_stream.relays.size());
+  if (file.relay.enabled)
+    fmt::print(out,
+               "operator's file: a relay of the change stream at {}, of {} sources, {} subscribers at most\n",
+               file.relay.listen.text(), file.relay.sources.size(), file.relay.subscribers_most);
   const flow::ExportSettings& flows = file.flow_export;
   if (!flows.enabled) return fmt::print(out, "operator's file: flow export is off\n");
   fmt::print(out, "operator's file: flow export to {} collectors, {} flows at most, {} networks, spool {}\n",
@@ -85,6 +97,11 @@
      "work is taken for a moment\n"
      "longer, all that was taken is answered, and it exits with 0.\n",
      true, run_serve},
+    {"relay", "pass the change stream on to directors until SIGTERM",
+     "Needs an operator's file with relay/enabled. Answers GET /changes with the stream, or with 503 while "
+     "it "
+     "has none,\nand GET /_health with 200. SIGUSR1 prints the counters, SIGHUP reads the sources again.\n",
+     true, run_relay},
     {"check", "read a configuration and say what would be served",
      "With --operator alone it looks at the operator's file alone.\n", true, run_check},
     {"schema", "print the JSON Schema of the operator's file", "", false, run_schema},
--- a/src/program/operator.cpp
+++ b/src/program/operator.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -85,6 +86,51 @@
     refuse(file, "/flow_export/collectors", "no collector", "at least one where flow_export is enabled");
 }
 
+std::vector<distribution::Endpoint> read_endpoints(const json& listed, const std::string& file,
+                                                   const std::string& pointer) {
+  std::vector<distribution::Endpoint> endpoints;
+  for (std::size_t i = 0; i < listed.size(); ++i) {
+    const auto text = listed[i].get<std::string>();
+    const auto address = transport::Address::parse(text);
+    const std::string place = fmt::format("{}/{}", pointer, i);
+    if (!address) refuse(file, place, shown(listed[i]), "an address with a port");
+    const distribution::Endpoint endpoint{*address, text};
+    if (std::find(endpoints.begin(), endpoints.end(), endpoint) != endpoints.end())
+      refuse(file, place, shown(listed[i]) + " for the second time", "each address once");
+    endpoints.push_back(endpoint);
+  }
+  return endpoints;
+}
+
+void read_change_stream(const json& object, const std::string& file, ChangeStreamSettings& out) {
+  out.enabled = or_else(object, "enabled", false);
+  out.compressed = or_else(object, "compressed", out.compressed);
+  out.retry_longest = or_else(object, "retry_longest_s", out.retry_longest);
+  if (object.contains("relays")) out.relays = read_endpoints(object["relays"], file, "/change_stream/relays");
+  if (out.enabled && out.relays.empty())
+    refuse(file, "/change_stream/relays", "no relay", "at least one where change_stream is enabled");
+}
+
+void read_relay(const json& object, const std::string& file, distribution::RelaySettings& out) {
+  out.enabled = or_else(object, "enabled", false);
+  out.compressed = or_else(object, "compressed", out.compressed);
+  out.tick = or_else(object, "tick_s", out.tick);
+  out.window_bytes = or_else<std::size_t>(object, "window_kb", out.window_bytes / 1024) * 1024;
+  out.purge_lifetime = or_else(object, "purge_lifetime_s", out.purge_lifetime);
+  out.purges_most = or_else(object, "purges_most", out.purges_most);
+  out.subscribers_most = or_else(object, "subscribers_most", out.subscribers_most);
+  if (object.contains("sources")) out.sources = read_endpoints(object["sources"], file, "/relay/sources");
+  if (object.contains("listen")) {
+    const auto listen = transport::Address::parse(object["listen"].get<std::string>());
+    if (!listen) refuse(file, "/relay/listen", shown(object["listen"]), "an address with a port");
+    out.listen = *listen;
+  }
+  if (!out.enabled) return;
+  if (!object.contains("listen"))
+    refuse(file, "/relay/listen", "nothing", "an address where relay is enabled");
+  if (out.sources.empty()) refuse(file, "/relay/sources", "no source", "at least one where relay is enabled");
+}
+
 }  // namespace
 
 OperatorFile read_operator(const std::string& text, const std::string& file, std::size_t memory) {
@@ -106,6 +152,9 @@
                                        : LogLevel::kInfo;
   read_flow_export(document.contains("flow_export") ? document["flow_export"] : empty, file, memory,
                    out.flow_export);
+  read_change_stream(document.contains("change_stream") ? document["change_stream"] : empty, file,
+                     out.change_stream);
+  read_relay(document.contains("relay") ? document["relay"] : empty, file, out.relay);
   return out;
 }
 
--- a/src/program/operator.hpp
+++ b/src/program/operator.hpp
@@ -3,19 +3,32 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "base/limits.hpp"
 #include "base/log.hpp"
+#include "distribution/relay_settings.hpp"
+#include "distribution/subscription.hpp"
 #include "flow/settings.hpp"
 
 namespace hareramp::program {
 
 extern const char* const kOperatorSchema;
 
+// How this director follows the change stream in place of the platform's own source.
+struct ChangeStreamSettings {
+  bool enabled = false;
+  bool compressed = true;
+  transport::Seconds retry_longest = 5;
+  std::vector<distribution::Endpoint> relays;
+};
+
 struct OperatorFile {
   LogForm log_form = LogForm::kText;
   LogLevel log_level = LogLevel::kInfo;
   flow::ExportSettings flow_export;
+  ChangeStreamSettings change_stream;
+  distribution::RelaySettings relay;
 };
 
 // file is only named in what is said. Throws BadConfig with one line: file, JSON pointer, what is there and
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -2,13 +2,15 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <exception>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "distribution/subscription.hpp"
 #include "flow/exporter.hpp"
 #include "program/operator.hpp"
-#include "routing/change_log.hpp"
 #include "routing/front.hpp"
 #include "routing/module.hpp"
 #include "transport/scheduler.hpp"
@@ -21,6 +23,26 @@
 using transport::Scheduler;
 using transport::Task;
 
+// The relays that the operator names, from one that is drawn by this director's seed on; else the platform's
+// source.
+std::vector<distribution::Endpoint> change_stream(const Config& config, const OperatorFile& operator_file) {
+  std::vector<distribution::Endpoint> relays = operator_file.change_stream.relays;
+  if (!operator_file.change_stream.enabled) return {{config.change_log, config.change_log_host}};
+  std::rotate(relays.begin(), relays.begin() + static_cast<std::ptrdiff_t>(config.seed % relays.size()),
+              relays.end());
+  return relays;
+}
+
+distribution::SubscriptionOptions subscription_options(const Config& config,
+                                                       const OperatorFile& operator_file) {
+  distribution::SubscriptionOptions options;
+  if (!operator_file.change_stream.enabled) return options;
+  options.compressed = operator_file.change_stream.compressed;
+  options.retry_longest = operator_file.change_stream.retry_longest;
+  options.seed = config.seed;
+  return options;
+}
+
 class Service {
  public:
   Service(const Config& config, const std::string& path, const OperatorFile& operator_file,
@@ -30,14 +52,15 @@
         operator_path_(operator_path),
         log_(log),
         signals_(scheduler_, {SIGTERM, SIGINT, SIGUSR1, SIGHUP}),
+        change_stream_enabled_(operator_file.change_stream.enabled),
         flows_(operator_file.flow_export.enabled
                    ? std::make_unique<flow::Exporter>(scheduler_, config.limits, counters_, log,
                                                       operator_file.flow_export, config.seed)
                    : nullptr),
         module_(scheduler_, config.limits, counters_, log, config.names, config.settings, config.seed,
                 flows_.get()),
-        change_log_(scheduler_, config.limits, counters_, log, config.change_log, config.change_log_host,
-                    config.known_to, module_),
+        changes_(scheduler_, config.limits, counters_, log, change_stream(config, operator_file),
+                 config.known_to, module_, subscription_options(config, operator_file)),
         front_(scheduler_, config.limits, counters_, config.listen, config.names, module_, flows_.get()) {
     scheduler_.on_late = [this](Seconds until) {
       module_.woke_late(until);
@@ -62,7 +85,7 @@
   void run() {
     if (flows_) flows_->start();
     module_.start();
-    change_log_.start(config_.known);
+    changes_.start(config_.known);
     front_.start();
     scheduler_.spawn(heed_signals());
     log_.event(LogLevel::kInfo, "serving",
@@ -100,7 +123,7 @@
       const Config fresh = load_config(path_);
       const OperatorFile fresh_operator = load_operator(operator_path_, config_.memory);
       ++counters_.reloads;
-      change_log_.moved(fresh.change_log, fresh.change_log_host);
+      changes_.moved(change_stream(fresh, fresh_operator));
       log_.use(fresh_operator.log_form, fresh_operator.log_level);
       if (flows_ && fresh_operator.flow_export.enabled) flows_->reload(fresh_operator.flow_export);
       std::string kept;
@@ -112,6 +135,7 @@
       compare("seed", fresh.seed == config_.seed);
       compare("limits", fresh.limits == config_.limits);
       compare("settings", fresh.settings == config_.settings);
+      compare("change_stream/enabled", fresh_operator.change_stream.enabled == change_stream_enabled_);
       compare("flow_export/enabled", fresh_operator.flow_export.enabled == (flows_ != nullptr));
       if (!kept.empty())
         log_.info("changed_only_by_restart", "{}: changed only by a restart: {}", config_.name, kept);
@@ -139,9 +163,10 @@
   Counters counters_;
   Scheduler scheduler_;
   transport::Signals signals_;
+  const bool change_stream_enabled_;
   std::unique_ptr<flow::Exporter> flows_;  // null: flows are not exported
   routing::ModuleActor module_;
-  routing::ChangeLog change_log_;
+  distribution::Subscription changes_;
   routing::Front front_;
 };
 
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -191,6 +191,68 @@
   return kNothing;
 }
 
+namespace {
+
+void append_quoted(std::string& out, std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  out += '"';
+  for (const char c : text) {
+    const auto code = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (code < 0x20) {
+      out += "\\u00";
+      out += kDigits[code >> 4];
+      out += kDigits[code & 15];
+    } else {
+      out += c;
+    }
+  }
+  out += '"';
+}
+
+void append_text(std::string& out, const Json& value) {
+  switch (value.kind()) {
+    case Json::Kind::kNull:
+      out += "null";
+      break;
+    case Json::Kind::kBool:
+    case Json::Kind::kNumber:
+      out += value.text();
+      break;
+    case Json::Kind::kText:
+      append_quoted(out, value.text());
+      break;
+    case Json::Kind::kList:
+      out += '[';
+      for (std::size_t place = 0; place < value.items().size(); ++place) {
+        if (place > 0) out += ',';
+        append_text(out, value.items()[place]);
+      }
+      out += ']';
+      break;
+    case Json::Kind::kObject:
+      out += '{';
+      for (std::size_t place = 0; place < value.members().size(); ++place) {
+        if (place > 0) out += ',';
+        append_quoted(out, value.members()[place].first);
+        out += ':';
+        append_text(out, value.members()[place].second);
+      }
+      out += '}';
+      break;
+  }
+}
+
+}  // namespace
+
+std::string to_text(const Json& value) {
+  std::string out;
+  append_text(out, value);
+  return out;
+}
+
 double Json::number(double fallback) const {
   double value = 0;
   if (kind_ != Kind::kNumber) return fallback;
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -40,4 +40,7 @@
   std::vector<std::pair<std::string, Json>> members_;
 };
 
+// The value as JSON text without spaces; members keep their order, numbers their digits.
+std::string to_text(const Json& value);
+
 }  // namespace hareramp::protocol
--- a/src/routing/module.cpp
+++ b/src/routing/module.cpp
@@ -148,19 +148,19 @@
   if (listen_until > held_until_ + kHoldAgain) held_until_ = listen_until;
 }
 
-void ModuleActor::change_arrived(protocol::Json change, bool known) {
-  told_.post([this, change = std::move(change), known] {
-    Changes changes(*this, known);
+void ModuleActor::known_change_arrived(protocol::Json change) {
+  told_.post([this, change = std::move(change)] {
+    Changes changes(*this, true);
     protocol::read_change(change, changes);
   });
 }
 
-void ModuleActor::changes_arrived(std::vector<protocol::Json> changes, bool more_waits,
+void ModuleActor::changes_arrived(std::vector<distribution::NumberedChange> changes, bool more_waits,
                                   std::function<void(bool taken)> done) {
   changes_wait_ = more_waits;
   told_.post([this, changes = std::move(changes), done = std::move(done)] {
     try {
-      for (const protocol::Json& change : changes) {
+      for (const auto& [number, change] : changes) {
         Changes handler(*this, false);
         protocol::read_change(change, handler);
       }
--- a/src/routing/module.hpp
+++ b/src/routing/module.hpp
@@ -11,10 +11,10 @@
 #include "base/counters.hpp"
 #include "base/limits.hpp"
 #include "base/log.hpp"
+#include "distribution/change_receiver.hpp"
 #include "policy.hpp"
 #include "protocol/events.hpp"
 #include "protocol/lines.hpp"
-#include "routing/change_receiver.hpp"
 #include "routing/peer.hpp"
 #include "transport/clock.hpp"
 #include "transport/mailbox.hpp"
@@ -37,7 +37,7 @@
   std::vector<bool> writes;  // by grade, where the settings tell
 };
 
-class ModuleActor : public HandOffs, public ChangeReceiver, private Actions {
+class ModuleActor : public HandOffs, public distribution::ChangeReceiver, private Actions {
  public:
   ModuleActor(transport::Scheduler& scheduler, const Limits& limits, Counters& counters, Log& log,
               Names names, Settings settings, std::uint64_t seed, flow::Exporter* flows = nullptr);
@@ -51,8 +51,8 @@
   void woke_late(Seconds listen_until);
 
   // From here on each call only posts.
-  void change_arrived(protocol::Json change, bool known) override;
-  void changes_arrived(std::vector<protocol::Json> changes, bool more_waits,
+  void known_change_arrived(protocol::Json change) override;
+  void changes_arrived(std::vector<distribution::NumberedChange> changes, bool more_waits,
                        std::function<void(bool taken)> done) override;
   void pull_arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
                     Seconds hard_stop, double size_kb, bool resent, bool is_write,
--- a/tests/program/operator_test.cpp
+++ b/tests/program/operator_test.cpp
@@ -24,6 +24,8 @@
   const auto file = program::load_operator(std::string(HARERAMP_SOURCE) + "/deploy/operator.json", 192 << 20);
   CHECK_FALSE(file.flow_export.enabled);
   CHECK_FALSE(file.flow_export.spool.enabled);
+  CHECK_FALSE(file.change_stream.enabled);
+  CHECK_FALSE(file.relay.enabled);
   CHECK(file.flow_export.networks->size() == 2);
   CHECK(file.log_form == LogForm::kText);
   CHECK(file.flow_export.flows_most == (192u << 20) / 16 / 256);
@@ -60,6 +62,15 @@
        std::string(
            R"({"flow_export": {"enabled": true, "collectors": [{"address": "[::1]:1", "transport": "tcp",
                         "protocol": "netflow9"}]}})"),
+       std::string(R"({"change_stream": {"enabled": true}})"),
+       std::string(R"({"change_stream": {"enabled": true, "relays": ["127.0.0.1:1", "127.0.0.1:1"]}})"),
+       std::string(R"({"change_stream": {"enabled": true, "relays": ["relay:1"]}})"),
+       std::string(R"({"change_stream": {"enabled": true, "relays": ["127.0.0.1:99999"]}})"),
+       std::string(R"({"relay": {"enabled": true, "sources": ["127.0.0.1:1"]}})"),
+       std::string(R"({"relay": {"enabled": true, "listen": "127.0.0.1:1"}})"),
+       std::string(R"({"relay": {"enabled": false, "tick_s": 5}})"),
+       std::string(R"({"change_stream": {"enabled": true, "relays": ["127.0.0.1:1", "[::1]:2"]}})"),
+       std::string(R"({"relay": {"enabled": true, "listen": "[::1]:1", "sources": ["127.0.0.1:1"]}})"),
        start + "}}"})
     trace += said(text);
   check_trace("operator_slips", trace);
