--- a/experiments/capacity/main.cpp
+++ b/experiments/capacity/main.cpp
@@ -1,6 +1,6 @@
 // build/capacity_experiment MEASUREMENT [--sizes A,B,...] [--out FILE]: measures one part against the size to
-// design for and writes a table; without a name it lists the measurements. "source" and "directors" are the
-// roles of its child processes.
+// design for and writes a table; without a name it lists the measurements. "page" makes the figures of
+// docs/CAPACITY.md anew from the tables. "source" and "directors" are the roles of its child processes.
 #include <fmt/format.h>
 #include <signal.h>
 #include <sys/resource.h>
@@ -12,6 +12,7 @@
 #include <sstream>
 
 #include "capacity/measurements.hpp"
+#include "capacity/report.hpp"
 #include "capacity/roles.hpp"
 
 using namespace hareramp::capacity;
@@ -39,7 +40,7 @@
   namespace po = boost::program_options;
   signal(SIGPIPE, SIG_IGN);
   raise_descriptor_limit();
-  std::string role, sizes, out;
+  std::string role, sizes, out, page, results;
   SourceRole source;
   DirectorsRole directors;
   Setup setup;
@@ -48,6 +49,9 @@
   options.add_options()("help", "print this")("name", po::value(&role), "a measurement, or a child's role")(
       "sizes", po::value(&sizes), "in place of the usual ones, separated by commas")(
       "out", po::value(&out), "the table's file; without it the table is printed")(
+      "page", po::value(&page)->default_value("docs/CAPACITY.md"),
+      "page: the file whose figures are made anew")(
+      "results", po::value(&results)->default_value("experiments/capacity/results"), "page: the tables")(
       "program", po::value(&setup.program)->default_value("build/hareramp"), "the director")(
       "seconds", po::value(&setup.seconds)->default_value(5), "of each span that is measured")(
       "processes", po::value(&setup.processes)->default_value(3), "that share simulated directors")(
@@ -80,6 +84,13 @@
       directors.rate = setup.rate;
       return run_directors(directors);
     }
+    if (role == "page") {
+      std::ifstream old(page);
+      const std::string text{std::istreambuf_iterator<char>(old), {}};
+      const std::string filled = fill_page(text, report_blocks(results));
+      std::ofstream(page) << filled;
+      return 0;
+    }
     for (const Measurement& measurement : measurements()) {
       if (measurement.name != role) continue;
       setup.sizes = sizes.empty() ? measurement.sizes : numbers(sizes);
