--- a/experiments/capacity/children.cpp
+++ b/experiments/capacity/children.cpp
@@ -91,7 +91,7 @@
 Folder::~Folder() { std::filesystem::remove_all(path_); }
 
 std::string Folder::write(const std::string& name, const std::string& text) const {
-  const std::string path = path_ + "/" + name;
+  std::string path = path_ + "/" + name;
   std::ofstream(path) << text;
   return path;
 }
--- a/experiments/capacity/measurements.cpp
+++ b/experiments/capacity/measurements.cpp
@@ -322,10 +322,10 @@
   static const std::vector<double> kRates = {10, 25, 50, 100, 200};
   static const std::vector<double> kBacklogs = {22500, 45000, 90000, 180000, 360000};
   static const std::vector<double> kRegionBacklogs = {2000, 4000, 8000, 16000};
-  static const auto direct = [](auto measure) {
+  const auto direct = [](auto measure) {
     return [measure](const Setup& setup) { return measure(setup, false); };
   };
-  static const auto relayed = [](auto measure) {
+  const auto relayed = [](auto measure) {
     return [measure](const Setup& setup) { return measure(setup, true); };
   };
   static const std::vector<Measurement> kMeasurements = {
--- a/src/base/schema.cpp
+++ b/src/base/schema.cpp
@@ -106,7 +106,7 @@
       std::string known;
       for (const auto& [name, ignored] : part["properties"].items())
         known += (known.empty() ? "" : ", ") + name;
-      return SchemaSlip{pointer + "/" + key, "an unknown key", "one of " + known};
+      return SchemaSlip{std::string(pointer).append("/").append(key), "an unknown key", "one of " + known};
     }
     if (part.contains("required"))
       for (const json& name : part["required"])
--- a/src/distribution/relay.cpp
+++ b/src/distribution/relay.cpp
@@ -146,7 +146,7 @@
 EncodedPiece Relay::snapshot_after(long long cursor) {
   const bool whole = cursor < snapshot_.oldest();
   if (whole && whole_snapshot_.plain) return whole_snapshot_;
-  const EncodedPiece piece = snapshot_.after(cursor, window_.last());
+  EncodedPiece piece = snapshot_.after(cursor, window_.last());
   if (whole) whole_snapshot_ = piece;
   return piece;
 }
--- a/tests/capacity/capacity_test.cpp
+++ b/tests/capacity/capacity_test.cpp
@@ -1,5 +1,5 @@
-// The capacity experiment: its page agrees with the committed tables, its own arithmetic, and a small form of what it
-// plays, whose bounds are counts and ratios.
+// The capacity experiment: its page agrees with the committed tables, its own arithmetic, and a small form of
+// what it plays, whose bounds are counts and ratios.
 #include <filesystem>
 #include <fstream>
 
@@ -32,7 +32,9 @@
 }
 
 // The value of a column in the only row.
-double value(const Table& table, const std::string& column) { return table.rows().at(0).at(table.column(column)); }
+double value(const Table& table, const std::string& column) {
+  return table.rows().at(0).at(table.column(column));
+}
 
 Table play(const std::string& name, double size, Setup setup = small_setup()) {
   setup.sizes = {size};
@@ -72,7 +74,8 @@
   const ColdQuota few = measure_cold_quota(4), many = measure_cold_quota(300);
   CHECK(few.attempts_each > 50 * many.attempts_each);
   CHECK(many.attempts_each > 0);
-  CHECK(300 * many.attempts_each <= 1.05 * many.limit_all);  // it has warmed up a little by the end of the span
+  CHECK(300 * many.attempts_each <=
+        1.05 * many.limit_all);  // it has warmed up a little by the end of the span
 }
 
 TEST_CASE("small form: a backlog of purges is worked off in bounded memory, at the source and at a relay") {
@@ -85,7 +88,8 @@
   CHECK(value(relayed, "stream_kb") < value(direct, "stream_kb") / 5);
 }
 
-TEST_CASE("small form: a relay tells each director every purge, in a fraction of the source's bytes and writes") {
+TEST_CASE(
+    "small form: a relay tells each director every purge, in a fraction of the source's bytes and writes") {
   const Table direct = play("source_subscribers", 40), relayed = play("relay_subscribers", 40);
   CHECK(value(relayed, "delivered_share") > 0.5);  // the rest is on its way: late on busy cores, not lost
   CHECK(value(relayed, "kb_per_s") < value(direct, "kb_per_s") / 2);
