Relay: a backlog comes in bounded batches; cursors of an earlier source life told apart

The relay had read the source's backlog between two ticks, so all of it was one batch of 11.8 MB: the window's bound did not hold, each of 346 directors was given the whole backlog in one piece, 346 were closed as stalled, and the relay's loop was late enough to take its own source for silent eight times (its counters said so). Change: a batch is closed at 64 KB. A cursor over 1,000 events ahead is refused while the relay still reads a backlog, and raises the epoch otherwise; epochs that subscribers bring are taken over once in 10 s at most. A subscriber that sends more than its one request is closed.

--- a/src/distribution/relay.cpp
+++ b/src/distribution/relay.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 constexpr long long kEpochsAhead = 1024;  // a cursor further ahead is none of a relay's
+// Events that another relay may be ahead by: some seconds. More is a cursor of an earlier life of the source.
+constexpr long long kAheadMost = 1000;
+// Between epochs that subscribers bring: each costs all of them a snapshot, and a broken one must not ask for
+// many.
+constexpr Seconds kAdoptEvery = 10;
 
 template <class... Handlers>
 struct Overloaded : Handlers... {
@@ -52,6 +57,7 @@
 }
 
 void Relay::take(Seconds now, const ChangesArrived& arrived) {
+  behind_ = arrived.more_waits;
   for (const auto& [source_number, change] : arrived.changes) {
     if (source_number <= 0) continue;  // not of the stream: nobody could go on behind it
     const Change read = read_change(change);
@@ -73,19 +79,27 @@
   if (!source_alive_) return refuse(Refusal::kSourceLost);
   if (arrived.cursor < 0 || epoch_of(arrived.cursor) > epoch_ + kEpochsAhead)
     return refuse(Refusal::kBadCursor);
-  if (epoch_of(arrived.cursor) > epoch_) adopt_epoch(epoch_of(arrived.cursor));
+  const bool is_ahead = epoch_of(arrived.cursor) == epoch_ && arrived.cursor > last_ + kAheadMost;
+  if (is_ahead && behind_) return refuse(Refusal::kBehind);
+  const long long wanted = is_ahead ? epoch_ + 1 : epoch_of(arrived.cursor);
+  if (wanted > epoch_ && !adopt_epoch(now, wanted)) return refuse(Refusal::kBadCursor);
   subscribers_.add(arrived.id, arrived.cursor, arrived.compressed, now);
   effects.push_back(Accept{arrived.id});
 }
 
 // Another relay has seen the source begin anew more often than this one, or was asked by such: its count
-// holds from now on for both, or a subscriber that changes between them would take what is new for told.
-void Relay::adopt_epoch(long long epoch) {
+// holds from now on for both, or a subscriber that changes between them would take what is new for told. The
+// same where a cursor is ahead of all that the source has: it is of an earlier life, whose end nobody here
+// saw.
+bool Relay::adopt_epoch(Seconds now, long long epoch) {
+  if (now - adopted_at_ < kAdoptEvery) return false;
+  adopted_at_ = now;
   snapshot_.move_epoch(epoch_, epoch);
   last_ = numbered(epoch, last_);
   epoch_ = epoch;
   window_.restart(last_);
   whole_snapshot_ = {};
+  return true;
 }
 
 void Relay::tick(Seconds now, bool source_alive, Effects& effects) {
--- a/src/distribution/relay.hpp
+++ b/src/distribution/relay.hpp
@@ -24,7 +24,8 @@
 // --- what happens ---
 struct ChangesArrived {  // from the source, in order
   std::vector<NumberedChange> changes;
-  double unix_now = 0;  // this machine's clock, s
+  double unix_now = 0;      // this machine's clock, s
+  bool more_waits = false;  // the source had more to read just then
 };
 struct SubscriberArrived {
   SubscriberId id = 0;
@@ -46,7 +47,7 @@
 struct Accept {
   SubscriberId id = 0;
 };
-enum class Refusal { kNoListYet, kSourceLost, kFull, kBadCursor };
+enum class Refusal { kNoListYet, kSourceLost, kFull, kBehind, kBadCursor };
 struct Refuse {
   SubscriberId id = 0;
   Refusal why = Refusal::kFull;
@@ -93,7 +94,7 @@
   void give(transport::Seconds now, SubscriberId id, Subscriber& subscriber, const EncodedPiece& piece,
             Effects& effects);
   EncodedPiece snapshot_after(long long cursor);
-  void adopt_epoch(long long epoch);
+  bool adopt_epoch(transport::Seconds now, long long epoch);
 
   RelaySettings settings_;
   Window window_;
@@ -105,6 +106,8 @@
   long long epoch_ = 0;
   long long last_ = 0;  // number of the last event taken in
   bool source_alive_ = false;
+  bool behind_ = false;  // more waits at the source
+  transport::Seconds adopted_at_ = -transport::kNever;
   std::size_t joins_left_ = 0;  // in this tick
 };
 
--- a/src/distribution/relay_actor.cpp
+++ b/src/distribution/relay_actor.cpp
@@ -58,6 +58,8 @@
       return "503 Source Lost";
     case Refusal::kFull:
       return "503 Too Many Subscribers";
+    case Refusal::kBehind:
+      return "503 Behind";
     case Refusal::kBadCursor:
       return "400 Bad Last-Event-ID";
   }
@@ -138,6 +140,7 @@
 }
 
 // One connection: its request, and then only the look for its end; what it is given comes from carry_out.
+// Whoever sends more than one request is no subscriber and is closed.
 Task<> RelayActor::serve(RelayActor& self, SessionPointer session) {
   const Seconds until = Scheduler::now() + self.limits_.request_whole;
   protocol::HttpParser parser(protocol::HttpParser::Message::kRequest, {self.limits_.head_bytes, 0});
@@ -166,21 +169,19 @@
   session->compressed = request.compressed;
   self.sessions_[session->id] = session;
   self.post(SubscriberArrived{session->id, request.cursor, request.compressed});
-  for (Io io{}; io.ok();) {
-    io = co_await session->socket.read(in, kReadRoom, transport::kNever);
-    in.consume(in.size());
-  }
+  co_await session->socket.read(in, kReadRoom, transport::kNever);
+  session->socket.close();
   self.sessions_.erase(session->id);
   self.post(SubscriberLeft{session->id});
 }
 
 void RelayActor::known_change_arrived(protocol::Json) {}  // a relay knows nothing before it has asked
 
-void RelayActor::changes_arrived(std::vector<NumberedChange> changes, bool,
+void RelayActor::changes_arrived(std::vector<NumberedChange> changes, bool more_waits,
                                  std::function<void(bool taken)> done) {
-  mailbox_.post([this, changes = std::move(changes), done = std::move(done)]() mutable {
+  mailbox_.post([this, changes = std::move(changes), more_waits, done = std::move(done)]() mutable {
     try {
-      step(ChangesArrived{std::move(changes), transport::Clock::unix_now()});
+      step(ChangesArrived{std::move(changes), transport::Clock::unix_now(), more_waits});
     } catch (...) {
       done(false);
       throw;
--- a/src/distribution/window.cpp
+++ b/src/distribution/window.cpp
@@ -6,6 +6,12 @@
 
 namespace hareramp::distribution {
 
+namespace {
+// A source's backlog comes by the megabyte between two ticks: as one batch it would be the whole window,
+// whatever its bound, and one write to each subscriber.
+constexpr std::size_t kBatchBytes = 64 * 1024;
+}  // namespace
+
 EncodedPiece encode_piece(std::string plain, long long last) {
   EncodedPiece piece;
   piece.compressed = std::make_shared<const std::string>(protocol::gzip(plain));
@@ -21,6 +27,7 @@
 void Window::add(long long number, const std::string& event) {
   open_marks_.push_back({number, open_bytes_.size()});
   open_bytes_ += event;
+  if (open_bytes_.size() >= kBatchBytes) close_batch();
 }
 
 void Window::close_batch() {
--- a/src/distribution/window.hpp
+++ b/src/distribution/window.hpp
@@ -25,7 +25,7 @@
  public:
   explicit Window(std::size_t bytes_most) : bytes_most_(bytes_most) {}
 
-  // Numbers rise. What is added waits until the batch is closed.
+  // Numbers rise. What is added waits until the batch is closed, which a long one is by itself.
   void add(long long number, const std::string& event);
   void close_batch();
   bool batch_waits() const { return !open_marks_.empty(); }
--- a/tests/distribution/relay_test.cpp
+++ b/tests/distribution/relay_test.cpp
@@ -106,6 +106,15 @@
   CHECK(window.bytes() <= 400);
 }
 
+TEST_CASE("the window: its bound holds while a backlog comes without a tick between") {
+  Window window(200'000);
+  const std::string event(100, 'e');
+  for (long long number = 1; number <= 100'000; ++number) window.add(number, event);
+  CHECK(window.bytes() <= 200'000);
+  CHECK_FALSE(window.reaches(90'000));
+  CHECK(window.last() > 99'000);
+}
+
 TEST_CASE("a subscriber within the window gets each change once and in order, plain and compressed alike") {
   RelayRig rig;
   StreamReader plain, compressed;
@@ -236,6 +245,30 @@
   CHECK(does_not.refused == std::vector<Refusal>{Refusal::kBadCursor});
 }
 
+TEST_CASE("a cursor far ahead: refused while more waits at the source, else of an earlier life of it") {
+  RelayRig rig;
+  StreamReader reader, broken;
+  rig.list(1, "ab");
+  rig.purge(2);
+  rig.step(ChangesArrived{{}, kUnix, true});
+  rig.tick();
+  reader.last = 500'000;
+  rig.join(1, reader);
+  CHECK(rig.refused == std::vector<Refusal>{Refusal::kBehind});
+  rig.step(ChangesArrived{{}, kUnix, false});
+  rig.join(1, reader);
+  rig.pass(0.2);
+  CHECK(reader.last == numbered(1, 2));
+  CHECK(reader.purges[2] == 1);
+  CHECK(reader.nodes.size() == 2);
+  broken.last = numbered(5, 1);  // a second one within seconds would cost everybody another snapshot
+  rig.join(2, broken);
+  CHECK(rig.refused.back() == Refusal::kBadCursor);
+  rig.pass(10);
+  rig.join(2, broken);
+  CHECK(rig.relay.subscribers() == 2);
+}
+
 TEST_CASE("refused without a list or a source; comments only while the source is heard") {
   RelaySettings settings = small_settings();
   settings.subscribers_most = 1;
