--- a/benchmarks/flow_benchmark.cpp
+++ b/benchmarks/flow_benchmark.cpp
@@ -18,7 +18,7 @@
 struct Quiet : TableEvents {
   std::uint64_t records = 0;
   KernelCounts kernel(ConnectionNumber) override { return {}; }
-  void record(const Record& record) override { records += record.pulls + 1; }
+  void record(const Record& record) override { records += record.requests + 1; }
 };
 
 Label grade(std::uint32_t number) {
--- a/experiments/capacity/cold_quota.cpp
+++ b/experiments/capacity/cold_quota.cpp
@@ -20,19 +20,19 @@
 
 class CountingActions : public Actions {
  public:
-  void hand_off(const PullId& request, const NodeId& node, const FillTerms& fill, Seconds) override {
+  void hand_off(const RequestId& request, const NodeId& node, const FillTerms& fill, Seconds) override {
     sent.push_back({request, node, fill.source});
   }
-  void cancel(const PullId&, HandOffNumber) override {}
-  void bounce(const PullId&, Seconds) override {}
-  void forfeit(const PullId&) override {}
+  void cancel(const RequestId&, HandOffNumber) override {}
+  void bounce(const RequestId&, Seconds) override {}
+  void forfeit(const RequestId&) override {}
   void wake(Seconds, const TimerToken&) override {}
   void probe(const NodeId&) override {}
   void follow_list() override {}
   void log(const std::string&) override {}
 
   struct Sent {
-    PullId request;
+    RequestId request;
     NodeId node, source;
   };
   std::vector<Sent> sent;
@@ -56,10 +56,10 @@
   ColdQuota quota;
   for (int number = 0; number < kOffered; ++number) {
     now += kFallSpan / kOffered;
-    const PullId request{std::to_string(number)};
+    const RequestId request{std::to_string(number)};
     actions.sent.clear();
-    director.pull_arrived(now, request, {0}, {0}, {static_cast<std::uint64_t>(number)}, {0}, {0}, now + 3,
-                          kObjectKb, false, false);
+    director.request_arrived(now, request, {0}, {0}, {static_cast<std::uint64_t>(number)}, {0}, {0}, now + 3,
+                             kObjectKb, false, false);
     // A look for what the cache holds comes first; it has nothing. Whatever follows is the fill.
     for (int attempt = 0; static_cast<std::size_t>(attempt) < actions.sent.size(); ++attempt) {
       const auto one = actions.sent[attempt];
--- a/experiments/capacity/load.cpp
+++ b/experiments/capacity/load.cpp
@@ -53,7 +53,7 @@
     if (free == self.clients_.end())
       ++self.not_asked_;
     else
-      (*free)->pull(due);
+      (*free)->request(due);
   }
   const double most = Scheduler::now() + kLongestAnswer;
   while (Scheduler::now() < most && std::any_of(self.clients_.begin(), self.clients_.end(), busy))
--- a/experiments/fleet.cpp
+++ b/experiments/fleet.cpp
@@ -21,8 +21,8 @@
                                                              "no play begins later")(
       "program", po::value(&program)->default_value("build/hareramp"), "the director")(
       "directors", po::value(&directors), "processes, 2 to 40")(
-      "rate", po::value(&rate), "pulls a second in all")("history", po::value(&folder),
-                                                         "keep what was seen there, as JSON lines");
+      "rate", po::value(&rate), "requests a second in all")("history", po::value(&folder),
+                                                            "keep what was seen there, as JSON lines");
   po::variables_map given;
   try {
     po::store(po::parse_command_line(count, words, options), given);
--- a/experiments/flow_export.cpp
+++ b/experiments/flow_export.cpp
@@ -73,7 +73,7 @@
     if (tried == clients.size())
       ++turned_off;
     else
-      clients[at]->pull(due);
+      clients[at]->request(due);
   }
 }
 
@@ -168,7 +168,7 @@
       "director", options::value<std::string>()->default_value("build/hareramp"), "the program")(
       "runs", options::value<int>()->default_value(7), "of each way, interleaved")(
       "seconds", options::value<double>()->default_value(12), "a run")(
-      "rate", options::value<double>()->default_value(600), "pulls a second")(
+      "rate", options::value<double>()->default_value(600), "requests a second")(
       "out", options::value<std::string>()->default_value("out"), "folder for the results");
   options::variables_map given;
   try {
@@ -230,7 +230,7 @@
       lost += static_cast<double>(run.asked - run.completed);
       if (way == "on") told += static_cast<double>(run.dropped);
     }
-  good = bound("pulls_not_completed", lost, 0) && good;
+  good = bound("requests_not_completed", lost, 0) && good;
   good = bound("records_dropped_with_a_collector", told, 0) && good;
   return good ? 0 : 1;
 }
--- a/experiments/rig/fleet.cpp
+++ b/experiments/rig/fleet.cpp
@@ -27,14 +27,14 @@
 
 namespace {
 
-constexpr double kFlow = 4600, kSizeKb = 46;  // a pull takes 0.01 s of sending
+constexpr double kFlow = 4600, kSizeKb = 46;  // a request takes 0.01 s of sending
 constexpr double kSend = kSizeKb / kFlow;
 constexpr double kMostWait = 0.4;     // s of work that may wait at a node before it turns away
 constexpr double kFillGivenUp = 1.0;  // s
 constexpr double kStartShare = 0.05, kFallMultiple = 1, kFallSpan = 3;
 constexpr double kNotice = 0.5;  // s until the front no longer sends clients to a dead director
 constexpr std::size_t kRoom = 1 << 14;
-constexpr std::uint64_t kMostOpen = 4000;  // clients' pulls at once; more are not begun
+constexpr std::uint64_t kMostOpen = 4000;  // clients' requests at once; more are not begun
 const std::string kBytes(400, 'x');
 
 transport::Address any() { return *transport::Address::parse("127.0.0.1:0"); }
@@ -454,11 +454,11 @@
   while (due < until && !self.stopping_) {
     due += std::exponential_distribution<double>(self.plan_.rate)(self.chance_);
     co_await self.scheduler_.sleep_until(self.began_ + due);
-    if (self.now() < until && self.open_ < kMostOpen) self.scheduler_.spawn(pull(self, ++self.pulls_));
+    if (self.now() < until && self.open_ < kMostOpen) self.scheduler_.spawn(request(self, ++self.requests_));
   }
 }
 
-Task<> Fleet::pull(Fleet& self, std::uint64_t number) {
+Task<> Fleet::request(Fleet& self, std::uint64_t number) {
   ++self.open_;
   const bool write = self.chance() < self.plan_.writes;
   const std::uint64_t object = self.draw_object();
@@ -480,7 +480,7 @@
 }
 
 // The status of the answer, 0 without one.
-Task<int> Fleet::ask(int director, const std::string& id, const std::string& pull, bool write,
+Task<int> Fleet::ask(int director, const std::string& id, const std::string& request, bool write,
                      std::uint64_t object, int repeat, double& advice) {
   const double wait = write ? plan_.write_stop : plan_.read_stop, stop = Scheduler::now() + wait;
   const std::string who = fmt::format("d{}", director);
@@ -496,7 +496,7 @@
       repeat > 0 ? "X-Resent: 1\r\n" : "", write ? fmt::format("Content-Length: {}\r\n", body.size()) : "",
       body);
   history_.add(
-      {.at = now(), .what = "ask", .pull = pull, .id = id, .who = who, .figure = repeat, .left = wait});
+      {.at = now(), .what = "ask", .request = request, .id = id, .who = who, .figure = repeat, .left = wait});
   co_await socket.write(text, stop);
   protocol::HttpParser parser(protocol::HttpParser::Message::kResponse, {16384, 1 << 20});
   Answer answer;
@@ -512,10 +512,11 @@
     if (io.ok() && step == protocol::HttpParser::Step::kMore) continue;
     if (io.ok() && step == protocol::HttpParser::Step::kDone) {
       ++answers;
-      history_.add({now(), "answer", pull, id, who, answer.status, answer.advice});
+      history_.add({now(), "answer", request, id, who, answer.status, answer.advice});
       continue;  // to its end: a second answer would follow on the connection
     }
-    if (answers == 0) history_.add({.at = now(), .what = "unanswered", .pull = pull, .id = id, .who = who});
+    if (answers == 0)
+      history_.add({.at = now(), .what = "unanswered", .request = request, .id = id, .who = who});
     break;
   }
   advice = answer.advice;
--- a/experiments/rig/fleet.hpp
+++ b/experiments/rig/fleet.hpp
@@ -25,13 +25,13 @@
 struct FleetPlan {
   std::string program;  // the director's
   int directors = 5, caches = 5, parents = 2;
-  double cache_pace = 80, parent_pace = 100, origin_pace = 160;  // pulls a second at most
-  double rate = 220;                                             // pulls a second of all clients
-  double writes = 0.04;                                          // share of the pulls
+  double cache_pace = 80, parent_pace = 100, origin_pace = 160;  // requests a second at most
+  double rate = 220;                                             // requests a second of all clients
+  double writes = 0.04;                                          // share of the requests
   int objects = 400;
   double zipf = 0.9, life = 30;  // life: s after which an object gives way to another
   double read_stop = 1.5, write_stop = 2.5;
-  int repeats = 3;       // of a client's pull that was bounced
+  int repeats = 3;       // of a client's request that was bounced
   double honours = 0.6;  // share of the clients that heed the advice; the others come at once
   double cold_for = 60;  // s in which a node that starts warms up
   std::uint64_t seed = 1;
@@ -46,7 +46,7 @@
   History& history() { return history_; }
   const FleetPlan& plan() const { return plan_; }
 
-  void play(double until);  // the clients pull, nodes answer, until then
+  void play(double until);  // the clients request, nodes answer, until then
   void set_rate(double rate) { plan_.rate = rate; }
   void set_patience(double honours, int repeats) { plan_.honours = honours, plan_.repeats = repeats; }
 
@@ -79,8 +79,8 @@
   static transport::Task<> tell(Fleet& self);
   static transport::Task<> feed_one(Fleet& self, transport::Socket socket);
   static transport::Task<> arrivals(Fleet& self, double until);
-  static transport::Task<> pull(Fleet& self, std::uint64_t number);
-  transport::Task<int> ask(int director, const std::string& id, const std::string& pull, bool write,
+  static transport::Task<> request(Fleet& self, std::uint64_t number);
+  transport::Task<int> ask(int director, const std::string& id, const std::string& request, bool write,
                            std::uint64_t object, int repeat, double& advice);
   void serve(Node& node, std::shared_ptr<transport::Socket> socket, std::string id, std::string fields);
   void fill(Node& from, std::uint64_t object, bool have_only, std::function<void(Fill)> done);
@@ -108,7 +108,7 @@
   std::vector<double> shares_;
   History::Spans excused_;
   std::string folder_;
-  std::uint64_t pulls_ = 0, open_ = 0;
+  std::uint64_t requests_ = 0, open_ = 0;
   double cold_worst_ = 0;
   bool stopping_ = false;
 };
--- a/experiments/rig/history.cpp
+++ b/experiments/rig/history.cpp
@@ -12,7 +12,7 @@
 void History::save(const std::string& path) const {
   std::ofstream file(path);
   for (const Row& row : rows_)
-    file << nlohmann::json{{"at", row.at},   {"what", row.what},     {"pull", row.pull}, {"id", row.id},
+    file << nlohmann::json{{"at", row.at},   {"what", row.what},     {"request", row.request}, {"id", row.id},
                            {"who", row.who}, {"figure", row.figure}, {"left", row.left}}
                 .dump()
          << "\n";
@@ -21,21 +21,21 @@
 std::vector<std::string> History::breaches(double slack, double drain_grace, const Spans& excused) const {
   std::vector<std::string> found;
   struct Try {
-    std::string pull, who;
+    std::string request, who;
     double stop = 0;
     int answers = 0, status = 0;
   };
   std::map<std::string, Try> tries;
-  std::map<std::string, std::string> try_of_run;            // a pull's effect, by the try that had it
+  std::map<std::string, std::string> try_of_run;            // a request's effect, by the try that had it
   std::map<std::string, double> told;                       // of a drain, by node
-  std::map<std::string, std::set<std::string>> refused_of;  // tries of a pull that may be repeated
+  std::map<std::string, std::set<std::string>> refused_of;  // tries of a request that may be repeated
   const auto is_excused = [&](const std::string& who, double at) {
     const auto [first, last] = excused.equal_range(who);
     return std::any_of(first, last,
                        [&](const auto& span) { return at >= span.second.first && at <= span.second.second; });
   };
   for (const Row& row : rows_) {
-    if (row.what == "ask") tries[row.id] = {row.pull, row.who, row.at + row.left, 0, 0};
+    if (row.what == "ask") tries[row.id] = {row.request, row.who, row.at + row.left, 0, 0};
     if (row.what == "told") told.emplace(row.who, row.at);
     if (row.what == "fallen") found.push_back(fmt::format("{:.3f} {} was pushed over", row.at, row.who));
     if (row.what == "answer") {
@@ -54,14 +54,15 @@
       found.push_back(fmt::format("{:.3f} {} sent to {} {:.3f} s after its hard stop", row.at, row.id,
                                   row.who, row.at - tries[row.id].stop));
     if (row.what == "run") {
-      const auto [first, is_first] = try_of_run.emplace(tries[row.id].pull, row.id);
+      const auto [first, is_first] = try_of_run.emplace(tries[row.id].request, row.id);
       if (!is_first)
         found.push_back(fmt::format("{:.3f} {} ran again, first as {}", row.at, row.id, first->second));
     }
   }
-  for (const auto& [pull, id] : try_of_run)
+  for (const auto& [request, id] : try_of_run)
     if (tries[id].status == 503)
-      found.push_back(fmt::format("{} of pull {} had run and was answered as harmless to repeat", id, pull));
+      found.push_back(
+          fmt::format("{} of request {} had run and was answered as harmless to repeat", id, request));
   return found;
 }
 
@@ -71,9 +72,9 @@
   for (const Row& row : rows_) {
     if (row.what == "ask" && row.figure == 0 && row.at >= from && row.at < to &&
         (director.empty() || row.who == director))
-      ++all.pulls, mine.insert(row.pull);
-    if (row.what == "ask" && mine.contains(row.pull)) ++all.tries;
-    if (row.what == "answer" && row.figure == 200 && mine.contains(row.pull)) ++all.completed;
+      ++all.requests, mine.insert(row.request);
+    if (row.what == "ask" && mine.contains(row.request)) ++all.tries;
+    if (row.what == "answer" && row.figure == 200 && mine.contains(row.request)) ++all.completed;
     if (row.at < from || row.at >= to) continue;
     all.hand_offs += row.what == "hand_off", all.origin += row.what == "origin";
   }
--- a/experiments/rig/history.hpp
+++ b/experiments/rig/history.hpp
@@ -10,13 +10,13 @@
 namespace hareramp::rig {
 
 struct Row {
-  double at = 0;          // s since the start
-  std::string what = {};  // ask, answer, unanswered, hand_off, run, origin, fallen, told, fault
-  std::string pull = {};  // the client's number of the pull, the same for its repeats
-  std::string id = {};    // of the try
-  std::string who = {};   // the director, for what clients saw, or the node
-  int figure = 0;         // ask: which try; answer: the status
-  double left = 0;        // s: until the hard stop (ask, hand_off), or the advice (answer)
+  double at = 0;             // s since the start
+  std::string what = {};     // ask, answer, unanswered, hand_off, run, origin, fallen, told, fault
+  std::string request = {};  // the client's number of the request, the same for its repeats
+  std::string id = {};       // of the try
+  std::string who = {};      // the director, for what clients saw, or the node
+  int figure = 0;            // ask: which try; answer: the status
+  double left = 0;           // s: until the hard stop (ask, hand_off), or the advice (answer)
 };
 
 class History {
@@ -26,17 +26,18 @@
   void save(const std::string& path) const;  // JSON lines
 
   // The five rules as far as this world has them; a line for each breach, none if they were kept. A director
-  // may leave pulls unanswered while it was paused or after it was killed (excused, by director: from, to).
+  // may leave requests unanswered while it was paused or after it was killed (excused, by director: from,
+  // to).
   using Spans = std::multimap<std::string, std::pair<double, double>>;
   std::vector<std::string> breaches(double slack, double drain_grace, const Spans& excused = {}) const;
 
   struct Count {
-    std::uint64_t pulls = 0, completed = 0, tries = 0, hand_offs = 0, origin = 0;
-    double good() const { return pulls > 0 ? static_cast<double>(completed) / pulls : 1; }
-    double tries_each() const { return pulls > 0 ? static_cast<double>(tries) / pulls : 0; }
+    std::uint64_t requests = 0, completed = 0, tries = 0, hand_offs = 0, origin = 0;
+    double good() const { return requests > 0 ? static_cast<double>(completed) / requests : 1; }
+    double tries_each() const { return requests > 0 ? static_cast<double>(tries) / requests : 0; }
     double work_each() const { return static_cast<double>(hand_offs) / (completed > 0 ? completed : 1); }
   };
-  // Pulls first asked for within the span, and what nodes were sent in it; by director if one is named.
+  // Requests first asked for within the span, and what nodes were sent in it; by director if one is named.
   Count count(double from, double to, const std::string& director = "") const;
   // From when on each span of so many seconds up to the end served at least this share; -1 if never.
   double back_at(double from, double to, double share, double span) const;
--- a/experiments/rig/scenes.cpp
+++ b/experiments/rig/scenes.cpp
@@ -35,7 +35,7 @@
           {"good_meanwhile", seen.count(trouble, healed).good()},
           {"back_after_s", back < 0 ? 1e9 : back - healed, 0, kBackWithin},
           {"hand_offs_a_try_over_before", worst * before.tries / std::max<double>(1, before.hand_offs)},
-          {"tries_a_pull_meanwhile", seen.count(trouble, healed).tries_each()}};
+          {"tries_a_request_meanwhile", seen.count(trouble, healed).tries_each()}};
 }
 
 std::vector<Finding> origin_stopped(Fleet& fleet) {
@@ -81,7 +81,7 @@
     double& least = d < fleet.plan().directors / 2 ? there : apart;
     least = std::min(least, fleet.history().count(at + 2, 11, fmt::format("d{}", d)).good());
   }
-  // Strikes, then a trial after half a second and twice as long each time; a pull in five would go there.
+  // Strikes, then a trial after half a second and twice as long each time; a request in five would go there.
   found.push_back({"hand_offs_to_the_cut_cache",
                    static_cast<double>(fleet.history().hand_offs("c0", at + 2, 11, "d0")), 0, 5});
   found.push_back({"good_at_the_cut_ones", there, 0.85});
--- a/experiments/rig/world.cpp
+++ b/experiments/rig/world.cpp
@@ -59,7 +59,7 @@
     self.octets_.received += io.bytes;
     while (const auto command = next_command(in)) {
       if (command->word != "serve") continue;
-      ++self.pulls_;
+      ++self.requests_;
       const std::string &id = command->id, &fields = command->fields;
       const auto size = self.sizes_.find(field(fields, "lane"));
       const std::size_t bytes = size == self.sizes_.end() ? 100 : size->second;
@@ -179,20 +179,20 @@
   co_return true;
 }
 
-void Client::start(std::uint64_t pulls, double pause, bool leaves) {
-  scheduler_.spawn(live(*this, pulls, pause, leaves));
+void Client::start(std::uint64_t requests, double pause, bool leaves) {
+  scheduler_.spawn(live(*this, requests, pause, leaves));
 }
 
-Task<> Client::live(Client& self, std::uint64_t pulls, double pause, bool leaves) {
-  for (std::uint64_t i = 0; i < pulls; ++i) {
-    co_await self.ask(leaves && i + 1 == pulls);
+Task<> Client::live(Client& self, std::uint64_t requests, double pause, bool leaves) {
+  for (std::uint64_t i = 0; i < requests; ++i) {
+    co_await self.ask(leaves && i + 1 == requests);
     if (pause > 0) co_await self.scheduler_.sleep_until(Scheduler::now() + pause);
   }
   self.close();
   self.done_ = true;
 }
 
-void Client::pull(double due) {
+void Client::request(double due) {
   busy_ = true;
   scheduler_.spawn(one(*this, due));
 }
--- a/experiments/rig/world.hpp
+++ b/experiments/rig/world.hpp
@@ -1,6 +1,6 @@
 // Stand-ins for everything round one director, on loopback: nodes that speak the caches' protocol, the change
-// log, and clients that pull. Each counts the octets that pass it, by itself. No model of a real node: what
-// they are for is load and exact counts.
+// log, and clients that request. Each counts the octets that pass it, by itself. No model of a real node:
+// what they are for is load and exact counts.
 #pragma once
 
 #include <cstdint>
@@ -27,14 +27,14 @@
   double delay = 0.001;   // s to an answer
 };
 
-// A node: answers every pull with bytes, as many as its grade has.
+// A node: answers every request with bytes, as many as its grade has.
 class Node {
  public:
   Node(transport::Scheduler& scheduler, std::map<std::string, std::size_t> sizes, NodeWays ways,
        std::uint64_t seed);
   transport::Address address() const { return address_; }
   const Octets& octets() const { return octets_; }
-  std::uint64_t pulls() const { return pulls_; }
+  std::uint64_t requests() const { return requests_; }
   void set_ways(NodeWays ways) { ways_ = ways; }
 
  private:
@@ -50,7 +50,7 @@
   transport::Listener listener_;
   transport::Address address_;
   Octets octets_;
-  std::uint64_t pulls_ = 0;
+  std::uint64_t requests_ = 0;
 };
 
 // The change log that never has anything new.
@@ -81,16 +81,16 @@
   int receive_buffer = 0;         // bytes; 0: the system's own
 };
 
-// One connection that pulls one grade, one pull after another.
+// One connection that requests one grade, one request after another.
 class Client {
  public:
   Client(transport::Scheduler& scheduler, transport::Address director, transport::Address from,
          std::string grade, bool write, Reading reading, std::uint64_t number);
-  // So many pulls with a pause between; leaves: resets the connection in the middle of the last answer.
-  void start(std::uint64_t pulls, double pause, bool leaves = false);
-  // One pull, timed from when it was due; for open loads.
+  // So many requests with a pause between; leaves: resets the connection in the middle of the last answer.
+  void start(std::uint64_t requests, double pause, bool leaves = false);
+  // One request, timed from when it was due; for open loads.
   bool busy() const { return busy_; }
-  void pull(double due);
+  void request(double due);
   bool done() const { return done_; }
   const Tally& tally() const { return tally_; }
   std::vector<double>& latencies() { return latencies_; }
@@ -102,7 +102,7 @@
     void header(std::string_view, std::string_view) override {}
     void body(std::string_view) override {}
   };
-  static transport::Task<> live(Client& self, std::uint64_t pulls, double pause, bool leaves);
+  static transport::Task<> live(Client& self, std::uint64_t requests, double pause, bool leaves);
   static transport::Task<> one(Client& self, double due);
   transport::Task<bool> connect();
   transport::Task<bool> ask(bool leave);
--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -6,12 +6,12 @@
 
 // name, and what it counts
 #define HARERAMP_COUNTERS(COUNT)                                                     \
-  COUNT(taken, "pulls taken in whole")                                               \
-  COUNT(completed, "pulls answered 200 or 304")                                      \
-  COUNT(bounced, "pulls answered 503: trying again is harmless")                     \
-  COUNT(forfeited, "pulls answered 500: no promise")                                 \
-  COUNT(left, "pulls whose client went away first")                                  \
-  COUNT(open, "pulls with no answer yet")                                            \
+  COUNT(taken, "requests taken in whole")                                            \
+  COUNT(completed, "requests answered 200 or 304")                                   \
+  COUNT(bounced, "requests answered 503: trying again is harmless")                  \
+  COUNT(forfeited, "requests answered 500: no promise")                              \
+  COUNT(left, "requests whose client went away first")                               \
+  COUNT(open, "requests with no answer yet")                                         \
   COUNT(not_modified, "of the completed: 304")                                       \
   COUNT(overdue, "of the forfeited: ended by the director's last resort")            \
   COUNT(turned_back, "of the bounced: a limit of the director was reached")          \
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -11,14 +11,14 @@
   // sizes
   std::size_t head_bytes = 0;       // a request's or response's head
   std::size_t request_body = 0;     // a write's body
-  std::size_t read_ahead = 0;       // bytes taken from a client whose pull is still open
+  std::size_t read_ahead = 0;       // bytes taken from a client whose request is still open
   std::size_t buffer_kept = 0;      // memory that an empty buffer keeps
   std::size_t read_room = 0;        // room made for one read
   std::size_t answer_line = 0;      // the line of a cache node's answer
   std::size_t answer_body = 0;      // the bytes of a cache node's answer
   std::size_t event_bytes = 0;      // an event of the change log
   std::size_t event_slice = 0;      // bytes read of the change log before the module is told of them
-  double largest_kb = 0;            // of a pull, as it says of itself
+  double largest_kb = 0;            // of a request, as it says of itself
   std::size_t waiting_answers = 0;  // bytes of answers that slow clients have not yet read, all together
   // counts
   std::size_t clients = 0;           // connections from clients
@@ -36,14 +36,14 @@
   double link_stall = 0;     // nothing more of an answer that has begun: it will not end
   double client_idle = 0;    // a client's connection with no request
   double request_whole = 0;  // from a request's first byte to its last
-  double longest_wait = 0;   // that a pull may ask for
+  double longest_wait = 0;   // that a request may ask for
   double first_request = 0;  // a new connection is not closed for another one so soon
   double accept_again = 0;   // between looks for room for another client
   double answer_taken = 0;   // for a client to take an answer
   double linger = 0;         // for a client to notice that we close, after the last that it sent
   double linger_most = 0;    // however much more it sends
   double stop_margin = 0;    // our own hard stop lies so much before the client's
-  double overdue = 0;        // past our own hard stop a pull without an answer is ended here
+  double overdue = 0;        // past our own hard stop a request without an answer is ended here
   double log_silent = 0;     // the change log is taken for dead after so long a silence
   double log_again = 0;      // between tries to reach the change log
   double serve_on = 0;       // after SIGTERM, new work is still taken for so long
@@ -63,7 +63,7 @@
   double flow_pause_longest = 0;     // after many
   double flow_come_home = 0;         // between looks whether an earlier collector is back
   double flow_trim = 0;              // between looks at the spool's age, and writings of its cursors
-  double flow_leave = 0;             // for the last records, once all pulls are answered
+  double flow_leave = 0;             // for the last records, once all requests are answered
 
   bool operator==(const Limits&) const = default;
 };
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -1,5 +1,5 @@
 // The director's log: one record a call (UTC time, level, event name, words, fields) on a descriptor, as text
-// or as JSON lines, through spdlog. Nothing is logged per pull. It must never wait for whoever reads it.
+// or as JSON lines, through spdlog. Nothing is logged per request. It must never wait for whoever reads it.
 #pragma once
 
 #include <fmt/format.h>
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -146,26 +146,29 @@
  public:
   WireActions(int who, std::string& reply) : who_("\tWho=" + std::to_string(who)), reply_(reply) {}
 
-  void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override {
+  void hand_off(const RequestId& request, const NodeId& node, const FillTerms& fill,
+                Seconds time_out) override {
     const int switches =
         (fill.join ? 1 : 0) | (fill.held_only ? 2 : 0) | (fill.pass_parent ? 4 : 0) | (fill.renew ? 8 : 0);
-    reply_ += "serve_via" + who_ + "\tRequestId=" + pull.value + "\tNode=" + node.value +
+    reply_ += "serve_via" + who_ + "\tRequestId=" + request.value + "\tNode=" + node.value +
               "\tFillFrom=" + fill.source.value + "\tRank=" + std::to_string(fill.rank) +
               "\tSwitches=" + std::to_string(switches);
     if (fill.oldest_copy > 0) reply_ += "\tAgeSpanS=" + text_of(std::max(fill.oldest_copy, 1e-6));
     if (time_out > 0) reply_ += "\tGiveUpAfterS=" + text_of(std::max(time_out, 1e-6));
     reply_ += '\n';
   }
-  void cancel(const PullId& pull, HandOffNumber number) override {
+  void cancel(const RequestId& request, HandOffNumber number) override {
     reply_ +=
-        "retract" + who_ + "\tRequestId=" + pull.value + "\tShot=" + std::to_string(number.value) + '\n';
+        "retract" + who_ + "\tRequestId=" + request.value + "\tShot=" + std::to_string(number.value) + '\n';
   }
-  void bounce(const PullId& pull, Seconds come_back_in) override {
-    reply_ += "reject" + who_ + "\tRequestId=" + pull.value;
+  void bounce(const RequestId& request, Seconds come_back_in) override {
+    reply_ += "reject" + who_ + "\tRequestId=" + request.value;
     if (come_back_in > 0) reply_ += "\tStayAwayS=" + text_of(come_back_in);
     reply_ += '\n';
   }
-  void forfeit(const PullId& pull) override { reply_ += "abort" + who_ + "\tRequestId=" + pull.value + '\n'; }
+  void forfeit(const RequestId& request) override {
+    reply_ += "abort" + who_ + "\tRequestId=" + request.value + '\n';
+  }
   void wake(Seconds at, const TimerToken& token) override {
     reply_ += "notify_me" + who_ + "\tTimeS=" + text_of(at) + "\tToken=" + token.value + '\n';
   }
@@ -265,11 +268,11 @@
     Director& director = *found->second.director;
     if (tag == "sync") return sync(director, line, items);
     if (tag == "demand") {
-      director.pull_arrived(now_, {line.text("RequestId")}, {line.number<int>("Band")},
-                            {line.number<int>("Party", 0)}, {line.number<std::uint64_t>("Asset", 0)},
-                            {line.number<std::int64_t>("Part", 0)}, {line.number<std::int64_t>("Group", -1)},
-                            line.number<double>("DeadlineS"), line.number<double>("BytesK", 0),
-                            line.flag("Resent"), line.flag("IsWrite"));
+      director.request_arrived(now_, {line.text("RequestId")}, {line.number<int>("Band")},
+                               {line.number<int>("Party", 0)}, {line.number<std::uint64_t>("Asset", 0)},
+                               {line.number<std::int64_t>("Part", 0)},
+                               {line.number<std::int64_t>("Group", -1)}, line.number<double>("DeadlineS"),
+                               line.number<double>("BytesK", 0), line.flag("Resent"), line.flag("IsWrite"));
     } else if (tag == "begun") {
       director.hand_off_begun(now_, {line.text("RequestId")}, {line.number<int>("Shot")});
     } else if (tag == "resolved") {
@@ -280,7 +283,7 @@
                               line.number<double>("WaitedS", 0), line.number<double>("SpentS", 0),
                               line.report("Gauge"), line.flag("Closed"));
     } else if (tag == "dropped") {
-      director.pull_dropped(now_, {line.text("RequestId")});
+      director.request_dropped(now_, {line.text("RequestId")});
     } else if (tag == "wake") {
       director.woken(now_, {line.text("Token")});
     } else if (tag == "health_result") {
--- a/src/flow/table.cpp
+++ b/src/flow/table.cpp
@@ -108,8 +108,8 @@
   append(moved_, &Flow::moved, place);
 }
 
-void Table::pull_ended(Seconds now, ConnectionNumber connection, const Label& label) {
-  ++flows_[find(now, connection.value, label)].pulls;
+void Table::request_ended(Seconds now, ConnectionNumber connection, const Label& label) {
+  ++flows_[find(now, connection.value, label)].requests;
 }
 
 void Table::share_out(Connection& connection, Direction direction, std::uint64_t segments,
@@ -183,11 +183,11 @@
   record.end = flow.last;
   record.delta = flow.delta;
   record.total = flow.total;
-  record.pulls = flow.pulls;
+  record.requests = flow.requests;
   record.reason = reason;
   connection.told = true;
   flow.delta = {};
-  flow.pulls = 0;
+  flow.requests = 0;
   flow.told_at = now;
   events_.record(record);
 }
@@ -251,7 +251,7 @@
       append(moved_, &Flow::moved, place);
     }
     const auto &octets = flow.delta.octets, &packets = flow.delta.packets;
-    if (octets[0] + octets[1] + packets[0] + packets[1] + flow.pulls == 0)
+    if (octets[0] + octets[1] + packets[0] + packets[1] + flow.requests == 0)
       continue;  // its idle time will end it
     tell(now, place, EndReason::kActive);
   }
--- a/src/flow/table.hpp
+++ b/src/flow/table.hpp
@@ -70,7 +70,7 @@
   std::optional<ConnectionNumber> opened(Seconds now, const Ends& ends);
   void moved(Seconds now, ConnectionNumber connection, const Label& label, Direction direction,
              std::uint64_t octets);
-  void pull_ended(Seconds now, ConnectionNumber connection, const Label& label);
+  void request_ended(Seconds now, ConnectionNumber connection, const Label& label);
   // The kernel's last counts come along: it can't be asked any more.
   void closed(Seconds now, ConnectionNumber connection, EndReason reason, const KernelCounts& last);
 
@@ -105,7 +105,7 @@
     std::uint64_t id = 0;
     ipfix::Traffic delta, total;
     std::array<std::uint64_t, 2> fresh{};  // octets since the kernel was last looked at
-    std::uint32_t pulls = 0;
+    std::uint32_t requests = 0;
   };
   struct Connection {
     Ends ends;
--- a/src/flow/tap.cpp
+++ b/src/flow/tap.cpp
@@ -35,7 +35,9 @@
   exporter_.table_.moved(exporter_.now(), connection_, label, inbound_ ? kReverse : kForward, octets);
 }
 
-void Tap::pull_ended(const Label& label) { exporter_.table_.pull_ended(exporter_.now(), connection_, label); }
+void Tap::request_ended(const Label& label) {
+  exporter_.table_.request_ended(exporter_.now(), connection_, label);
+}
 
 void Tap::closing(int) {
   read_for(Label(), read_);
--- a/src/flow/tap.hpp
+++ b/src/flow/tap.hpp
@@ -24,7 +24,7 @@
   // What is written from now on has this label at once; nothing: it waits for wrote_for().
   void writing_for(const Label& label) { out_ = label, out_known_ = true; }
   void writing_unknown() { out_known_ = false; }
-  void pull_ended(const Label& label);
+  void request_ended(const Label& label);
 
   void has_read(std::size_t bytes) override;
   void has_written(std::size_t bytes) override;
--- a/src/flows_tool/archive.cpp
+++ b/src/flows_tool/archive.cpp
@@ -28,7 +28,7 @@
   sequence INTEGER, export_time INTEGER, bytes INTEGER, UNIQUE(exporter, domain, version, sequence, export_time, bytes));
 CREATE TABLE IF NOT EXISTS flows(message INTEGER, flow INTEGER, initiator TEXT, initiator_port INTEGER,
   responder TEXT, responder_port INTEGER, start REAL, end REAL, reason INTEGER, part INTEGER, outcome INTEGER,
-  note INTEGER, depot INTEGER, node INTEGER, grade INTEGER, pulls INTEGER, octets_out INTEGER, octets_in INTEGER,
+  note INTEGER, depot INTEGER, node INTEGER, grade INTEGER, requests INTEGER, octets_out INTEGER, octets_in INTEGER,
   packets_out INTEGER, packets_in INTEGER, wire_out INTEGER, wire_in INTEGER, total_out INTEGER, total_in INTEGER);
 CREATE TABLE IF NOT EXISTS names(exporter TEXT, domain INTEGER, kind INTEGER, number INTEGER, name TEXT,
   PRIMARY KEY(exporter, domain, kind, number));
@@ -212,7 +212,7 @@
                                                  row.depot,
                                                  row.node,
                                                  row.grade,
-                                                 row.pulls,
+                                                 row.requests,
                                                  row.octets[0],
                                                  row.octets[1],
                                                  row.packets[0],
@@ -319,7 +319,7 @@
     while (name.step()) names[{name.text(0), name.whole(1), name.whole(2), name.whole(3)}] = name.text(4);
     Statement rows(database.raw(), fmt::format(R"(
         SELECT m.exporter, m.domain, f.depot, f.grade, f.node, f.part, f.outcome, f.note,
-          CAST(f.end / {0} AS INTEGER) * {0}, COUNT(*), SUM(f.reason <> 2), SUM(f.pulls), SUM(f.octets_out),
+          CAST(f.end / {0} AS INTEGER) * {0}, COUNT(*), SUM(f.reason <> 2), SUM(f.requests), SUM(f.octets_out),
           SUM(f.octets_in), SUM(f.packets_out), SUM(f.packets_in), SUM(f.wire_out), SUM(f.wire_in)
         FROM flows f JOIN messages m ON m.id = f.message WHERE f.end >= ? AND f.end < ?
         GROUP BY 1, 2, 3, 4, 5, 6, 7, 8, 9)",
@@ -368,7 +368,7 @@
       const auto add = [&](std::uint64_t& to, int column) {
         to += static_cast<std::uint64_t>(rows.whole(column));
       };
-      add(line.records, 9), add(line.flows, 10), add(line.pulls, 11);
+      add(line.records, 9), add(line.flows, 10), add(line.requests, 11);
       for (int way = 0; way < 2; ++way)
         add(line.octets[way], 12 + way), add(line.packets[way], 14 + way), add(line.wire[way], 16 + way);
     }
--- a/src/flows_tool/archive.hpp
+++ b/src/flows_tool/archive.hpp
@@ -106,7 +106,7 @@
 
 struct ReportLine {
   std::vector<std::string> keys;
-  std::uint64_t records = 0, flows = 0, pulls = 0;
+  std::uint64_t records = 0, flows = 0, requests = 0;
   std::uint64_t octets[2] = {0, 0}, packets[2] = {0, 0}, wire[2] = {0, 0};
 };
 
--- a/src/flows_tool/main.cpp
+++ b/src/flows_tool/main.cpp
@@ -102,11 +102,11 @@
   if (form != "table" && form != "csv" && form != "json")
     throw BadCall(fmt::format("--format: '{}' is none of table, csv, json", form));
   const auto lines = report(given["archive"].as<std::string>(), query);
-  const std::vector<std::string> figures = {"records",    "flows",     "pulls",
+  const std::vector<std::string> figures = {"records",    "flows",     "requests",
                                             "octets_out", "octets_in", "packets_out",
                                             "packets_in", "wire_out",  "wire_in"};
   const auto values = [](const ReportLine& line) {
-    return std::vector<std::uint64_t>{line.records,    line.flows,     line.pulls,
+    return std::vector<std::uint64_t>{line.records,    line.flows,     line.requests,
                                       line.octets[0],  line.octets[1], line.packets[0],
                                       line.packets[1], line.wire[0],   line.wire[1]};
   };
@@ -155,7 +155,7 @@
     while (name.step()) names[{name.text(0), name.whole(1), name.whole(2), name.whole(3)}] = name.text(4);
     Statement rows(database.raw(),
                    R"(SELECT m.exporter, m.domain, f.flow, f.initiator, f.initiator_port, f.responder,
-        f.responder_port, f.start, f.end, f.reason, f.part, f.outcome, f.note, f.depot, f.node, f.grade, f.pulls,
+        f.responder_port, f.start, f.end, f.reason, f.part, f.outcome, f.note, f.depot, f.node, f.grade, f.requests,
         f.octets_out, f.octets_in, f.packets_out, f.packets_in, f.wire_out, f.wire_in, f.total_out, f.total_in
         FROM flows f JOIN messages m ON m.id = f.message ORDER BY f.rowid)");
     while (left > 0 && rows.step()) {
@@ -180,7 +180,7 @@
                                     {"depot", named(1, 13)},
                                     {"node", named(2, 14)},
                                     {"grade", named(3, 15)},
-                                    {"pulls", rows.whole(16)},
+                                    {"requests", rows.whole(16)},
                                     {"octets_out", rows.whole(17)},
                                     {"octets_in", rows.whole(18)},
                                     {"packets_out", rows.whole(19)},
@@ -232,7 +232,7 @@
   all.push_back(
       {"collect", "take flow records by UDP and TCP into an archive, until SIGTERM", collect, collecting});
   all.push_back(
-      {"report", "octets, packets, flows and pulls of an archive, added up", print_report, reporting});
+      {"report", "octets, packets, flows and requests of an archive, added up", print_report, reporting});
   all.push_back({"dump", "the records of an archive as JSON lines", dump, dumping});
   return all;
 }
--- a/src/flows_tool/rows.cpp
+++ b/src/flows_tool/rows.cpp
@@ -17,9 +17,9 @@
                                                    "nodeReference",
                                                    "gradeReference",
                                                    "nodePart",
-                                                   "pullOutcome",
+                                                   "requestOutcome",
                                                    "cacheNote",
-                                                   "pullDeltaCount",
+                                                   "requestDeltaCount",
                                                    "payloadOctetTotalCount",
                                                    "reversePayloadOctetTotalCount",
                                                    "nameReference",
@@ -195,8 +195,8 @@
         case Own::kNote:
           row.note = static_cast<int>(number);
           break;
-        case Own::kPulls:
-          row.pulls = static_cast<std::uint32_t>(number);
+        case Own::kRequests:
+          row.requests = static_cast<std::uint32_t>(number);
           break;
         case Own::kTotal:
           row.total[0] = number;
--- a/src/ipfix/encoder.cpp
+++ b/src/ipfix/encoder.cpp
@@ -118,9 +118,9 @@
   out.own(kNodeReference, r.node.value);
   out.own(kGradeReference, r.label.grade.value);
   out.own(kNodePart, static_cast<std::uint8_t>(r.part));
-  out.own(kPullOutcome, static_cast<std::uint8_t>(r.label.outcome));
+  out.own(kRequestOutcome, static_cast<std::uint8_t>(r.label.outcome));
   out.own(kCacheNote, r.label.note);
-  out.own(kPullDeltaCount, r.pulls);
+  out.own(kRequestDeltaCount, r.requests);
 }
 
 template <class Out>
@@ -200,9 +200,9 @@
   out.iana(own(kNodeReference), r.node.value);
   out.iana(own(kGradeReference), r.label.grade.value);
   out.iana(own(kNodePart), static_cast<std::uint8_t>(r.part));
-  out.iana(own(kPullOutcome), static_cast<std::uint8_t>(r.label.outcome));
+  out.iana(own(kRequestOutcome), static_cast<std::uint8_t>(r.label.outcome));
   out.iana(own(kCacheNote), r.label.note);
-  out.iana(own(kPullDeltaCount), r.pulls);
+  out.iana(own(kRequestDeltaCount), r.requests);
   out.iana(static_cast<std::uint16_t>(kOwn9 + 42), static_cast<std::uint8_t>(r.reason));
 }
 
--- a/src/ipfix/record.hpp
+++ b/src/ipfix/record.hpp
@@ -24,8 +24,8 @@
 
 // What the other side of the connection is.
 enum class Part : std::uint8_t { kUnknown, kClient, kEdge, kParent, kOrigin };
-// kNone: octets that belong to no pull. For a hand-off: completed, may be repeated without harm, no promise,
-// called off.
+// kNone: octets that belong to no request. For a hand-off: completed, may be repeated without harm, no
+// promise, called off.
 enum class Outcome : std::uint8_t { kNone, kCompleted, kBounced, kForfeited, kLeft };
 // flowEndReason, RFC 7012 element 136.
 enum class EndReason : std::uint8_t { kIdle = 1, kActive = 2, kEnd = 3, kForced = 4, kNoRoom = 5 };
@@ -52,11 +52,11 @@
   Part part = Part::kUnknown;
   NameNumber node;
   Label label;
-  std::uint64_t id = 0;     // the same in all records of a flow
-  Seconds start = 0;        // Unix time of the flow's first octet
-  Seconds end = 0;          // of the last one so far
-  Traffic delta, total;     // since the record before; since the start
-  std::uint32_t pulls = 0;  // that ended since the record before
+  std::uint64_t id = 0;        // the same in all records of a flow
+  Seconds start = 0;           // Unix time of the flow's first octet
+  Seconds end = 0;             // of the last one so far
+  Traffic delta, total;        // since the record before; since the start
+  std::uint32_t requests = 0;  // that ended since the record before
   EndReason reason = EndReason::kActive;
 };
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -119,7 +119,7 @@
                                        {"completed", static_cast<double>(f.completed) / taken},
                                        {"bounced", static_cast<double>(f.bounced) / taken},
                                        {"forfeited", static_cast<double>(f.forfeited) / taken},
-                                       {"hand_offs", day.hand_offs_per_pull},
+                                       {"hand_offs", day.hand_offs_per_request},
                                        {"origin", day.origin_share},
                                        {"p50", day.p50},
                                        {"p99", day.p99},
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -92,10 +92,10 @@
   const auto start = std::chrono::steady_clock::now();
   const auto played = play_with_progress(experiment, given["threads"].as<unsigned>());
   const double wall = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
-  double pulls = 0, events = 0;
+  double requests = 0, events = 0;
   nlohmann::ordered_json days = nlohmann::ordered_json::array();
   for (const Played& one : played) {
-    pulls += static_cast<double>(one.day.findings.taken), events += static_cast<double>(one.day.events);
+    requests += static_cast<double>(one.day.findings.taken), events += static_cast<double>(one.day.events);
     nlohmann::ordered_json day = {{"policy", one.policy},
                                   {"seed", one.seed},
                                   {"fingerprint", fmt::format("{:016x}", one.day.fingerprint)}};
@@ -110,8 +110,8 @@
         mean(column(played, policy, "hand_offs")), mean(column(played, policy, "origin")),
         mean(column(played, policy, "p99")), mean(column(played, policy, "recovery")),
         of_all(column(played, policy, "broken_rules"), "broken_rules"));
-  fmt::print(stderr, "{:.0f} pulls decided in {:.2f} s ({:.0f} a second), {:.0f} events\n", pulls, wall,
-             pulls / wall, events);
+  fmt::print(stderr, "{:.0f} requests decided in {:.2f} s ({:.0f} a second), {:.0f} events\n", requests, wall,
+             requests / wall, events);
   const std::string out = given["out"].as<std::string>(), name = std::filesystem::path(path).stem().string();
   std::filesystem::create_directories(out);
   std::ofstream(out + "/" + name + ".json") << days.dump(1) << "\n";
--- a/src/lab/world/auditor.cpp
+++ b/src/lab/world/auditor.cpp
@@ -8,14 +8,14 @@
 constexpr Seconds kLate = 0.05;  // past the hard stop an answer may still be on its way
 }
 
-void Auditor::taken(std::uint64_t pull, Seconds hard_stop) {
+void Auditor::taken(std::uint64_t request, Seconds hard_stop) {
   ++findings_.taken;
-  pulls_[pull] = {hard_stop, 0};
+  requests_[request] = {hard_stop, 0};
 }
 
-void Auditor::answered(Seconds now, std::uint64_t pull, Answer how) {
-  const auto found = pulls_.find(pull);
-  if (found == pulls_.end() || ++found->second.answers > 1) {
+void Auditor::answered(Seconds now, std::uint64_t request, Answer how) {
+  const auto found = requests_.find(request);
+  if (found == requests_.end() || ++found->second.answers > 1) {
     ++findings_.answered_twice;
     return;
   }
@@ -36,10 +36,10 @@
   }
 }
 
-void Auditor::ran(std::uint64_t pull, Effect effect) {
+void Auditor::ran(std::uint64_t request, Effect effect) {
   if (effect == Effect::kRetriable) return;
   // A fingerprinted repeat is known at the origin and has no second effect.
-  if (++ran_[pull] > 1 && effect == Effect::kBinding) ++findings_.double_effects;
+  if (++ran_[request] > 1 && effect == Effect::kBinding) ++findings_.double_effects;
 }
 
 void Auditor::came(Seconds now, Seconds told_to_drain) {
@@ -75,8 +75,8 @@
 }
 
 void Auditor::ends(Seconds now) {
-  for (const auto& [id, pull] : pulls_)
-    if (pull.answers == 0 && now > pull.hard_stop + kLate) ++findings_.unanswered;
+  for (const auto& [id, request] : requests_)
+    if (request.answers == 0 && now > request.hard_stop + kLate) ++findings_.unanswered;
 }
 
 }  // namespace hareramp::lab
--- a/src/lab/world/auditor.hpp
+++ b/src/lab/world/auditor.hpp
@@ -39,11 +39,11 @@
  public:
   explicit Auditor(const WorldPlan& world) : world_(world) {}
 
-  void taken(std::uint64_t pull, Seconds hard_stop);
+  void taken(std::uint64_t request, Seconds hard_stop);
   enum class Answer { kCompleted, kBounced, kForfeited, kLeft };
-  void answered(Seconds now, std::uint64_t pull, Answer how);
-  // A pull ran at the origin, with the mark of its fingerprint.
-  void ran(std::uint64_t pull, Effect effect);
+  void answered(Seconds now, std::uint64_t request, Answer how);
+  // A request ran at the origin, with the mark of its fingerprint.
+  void ran(std::uint64_t request, Effect effect);
   // A hand-off came to a node of which its director was told at that time that it drains.
   void came(Seconds now, Seconds told_to_drain);
   // So much work (in seconds of a transfer at full pace) came to a node that started at that time.
@@ -54,19 +54,19 @@
   void copy_used(Seconds sent_at, Seconds copy_at, Seconds purged_at, Seconds told_at);
   // At any moment: what is open by the world's own book must be what is taken and not answered.
   void look(std::uint64_t open);
-  // The end: every pull whose time is up must have been answered.
+  // The end: every request whose time is up must have been answered.
   void ends(Seconds now);
 
   Findings& findings() { return findings_; }
 
  private:
-  struct Pull {
+  struct Request {
     Seconds hard_stop = 0;
     std::uint32_t answers = 0;
   };
   const WorldPlan& world_;
   Findings findings_;
-  std::map<std::uint64_t, Pull> pulls_;
+  std::map<std::uint64_t, Request> requests_;
   std::map<std::uint64_t, std::uint32_t> ran_;
   std::map<std::size_t, std::deque<std::pair<Seconds, double>>> work_;
 };
--- a/src/lab/world/judge.cpp
+++ b/src/lab/world/judge.cpp
@@ -22,14 +22,18 @@
     director_.list_entry(now, node, zone, kind, cell, readiness, weight, launched);
   }
   void list_ends(Seconds now) override { director_.list_ends(now); }
-  void pull_arrived(Seconds now, const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part,
-                    GroupId group, Seconds hard_stop, double size_kb, bool resent, bool is_write) override {
-    director_.pull_arrived(now, pull, grade, {0}, object, part, group, hard_stop, size_kb, resent, is_write);
+  void request_arrived(Seconds now, const RequestId& request, GradeIndex grade, ObjectId object,
+                       PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool resent,
+                       bool is_write) override {
+    director_.request_arrived(now, request, grade, {0}, object, part, group, hard_stop, size_kb, resent,
+                              is_write);
   }
-  void pull_dropped(Seconds now, const PullId& pull) override { director_.pull_dropped(now, pull); }
-  void hand_off_ended(Seconds now, const PullId& pull, HandOffNumber number, const NodeId& node,
-                      Result result, Note note, Seconds waited, Seconds spent, bool pull_over) override {
-    director_.hand_off_ended(now, pull, number, node, result, note, waited, spent, {}, pull_over);
+  void request_dropped(Seconds now, const RequestId& request) override {
+    director_.request_dropped(now, request);
+  }
+  void hand_off_ended(Seconds now, const RequestId& request, HandOffNumber number, const NodeId& node,
+                      Result result, Note note, Seconds waited, Seconds spent, bool request_over) override {
+    director_.hand_off_ended(now, request, number, node, result, note, waited, spent, {}, request_over);
   }
   void object_purged(Seconds now, ObjectId object, Seconds age) override {
     director_.object_purged(now, object, age);
@@ -63,24 +67,24 @@
   }
   void list_ends(Seconds) override {}
 
-  void pull_arrived(Seconds now, const PullId& id, GradeIndex grade, ObjectId object, PartNumber part,
-                    GroupId group, Seconds hard_stop, double, bool, bool is_write) override {
-    Pull pull;
-    pull.object = object.value, pull.unit = object.value * 31 + static_cast<std::uint64_t>(part.value);
-    pull.group = group.value, pull.hard_stop = hard_stop, pull.write = is_write;
-    pull.retriable = item("Effect", grade.value) == "retryable";
-    pull.fresh = std::atof(list_item("FamilyInfo.GoodForS", grade.value).c_str());
-    pulls_[id] = pull;
+  void request_arrived(Seconds now, const RequestId& id, GradeIndex grade, ObjectId object, PartNumber part,
+                       GroupId group, Seconds hard_stop, double, bool, bool is_write) override {
+    Request request;
+    request.object = object.value, request.unit = object.value * 31 + static_cast<std::uint64_t>(part.value);
+    request.group = group.value, request.hard_stop = hard_stop, request.write = is_write;
+    request.retriable = item("Effect", grade.value) == "retryable";
+    request.fresh = std::atof(list_item("FamilyInfo.GoodForS", grade.value).c_str());
+    requests_[id] = request;
     try_once(now, id);
   }
-  void pull_dropped(Seconds, const PullId& id) override { pulls_.erase(id); }
-  void hand_off_ended(Seconds now, const PullId& id, HandOffNumber, const NodeId& node, Result result, Note,
-                      Seconds, Seconds, bool pull_over) override {
+  void request_dropped(Seconds, const RequestId& id) override { requests_.erase(id); }
+  void hand_off_ended(Seconds now, const RequestId& id, HandOffNumber, const NodeId& node, Result result,
+                      Note, Seconds, Seconds, bool request_over) override {
     --out_[node];
-    const auto found = pulls_.find(id);
-    if (found == pulls_.end()) return;
-    if (pull_over || result == Result::kCompleted) {
-      pulls_.erase(found);
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) return;
+    if (request_over || result == Result::kCompleted) {
+      requests_.erase(found);
       return;
     }
     const bool never_ran = result == Result::kTurnedAway || result == Result::kUnreachable ||
@@ -102,7 +106,7 @@
     int zone = -1, kind = -1;
     bool usable = false;
   };
-  struct Pull {
+  struct Request {
     std::uint64_t object = 0, unit = 0;
     std::int64_t group = 0;
     Seconds hard_stop = 0, fresh = 0;
@@ -135,11 +139,11 @@
     }
     return best;
   }
-  NodeId choose_cache(const Pull& pull) {
+  NodeId choose_cache(const Request& request) {
     std::vector<NodeId> all;
     for (const auto& [id, node] : nodes_)
       if (node.usable && node.kind == 0 && node.zone == here_ &&
-          std::find(pull.tried.begin(), pull.tried.end(), id) == pull.tried.end())
+          std::find(request.tried.begin(), request.tried.end(), id) == request.tried.end())
         all.push_back(id);
     if (all.empty()) return {};
     const auto any = [&] {
@@ -156,41 +160,41 @@
         return out_[two] < out_[one] ? two : one;
       }
       default:
-        return by_hash(0, pull.unit, pull.tried);
+        return by_hash(0, request.unit, request.tried);
     }
   }
-  void try_once(Seconds now, const PullId& id) {
-    Pull& pull = pulls_[id];
-    const bool may = pull.retriable || !pull.may_have_run;
+  void try_once(Seconds now, const RequestId& id) {
+    Request& request = requests_[id];
+    const bool may = request.retriable || !request.may_have_run;
     const NodeId origin = by_hash(2, 0, {});
     NodeId node, source;
-    if (may && pull.tried.size() < 3 && now < pull.hard_stop) {
-      node = pull.write ? origin : choose_cache(pull);
-      source = pull.write                                         ? node
-               : kind_ == Kind::kTextbook || kind_ == Kind::kHash ? by_hash(1, pull.object, {})
-                                                                  : by_hash(1, pull.unit, {});
+    if (may && request.tried.size() < 3 && now < request.hard_stop) {
+      node = request.write ? origin : choose_cache(request);
+      source = request.write                                      ? node
+               : kind_ == Kind::kTextbook || kind_ == Kind::kHash ? by_hash(1, request.object, {})
+                                                                  : by_hash(1, request.unit, {});
       if (source.value.empty()) source = origin;
     }
     if (node.value.empty()) {
-      const bool harmless = pull.retriable || !pull.may_have_run;
-      pulls_.erase(id);
+      const bool harmless = request.retriable || !request.may_have_run;
+      requests_.erase(id);
       return harmless ? actions_.bounce(id, 1) : actions_.forfeit(id);
     }
     FillTerms fill;
     fill.source = source;
-    fill.rank = pull.write ? 0 : 1;
+    fill.rank = request.write ? 0 : 1;
     fill.join = true;
-    fill.oldest_copy = pull.fresh;
+    fill.oldest_copy = request.fresh;
     const auto bound = [&](Seconds at) {
       const Seconds since = std::max(now - at, 1e-5);
       fill.oldest_copy = fill.oldest_copy > 0 ? std::min(fill.oldest_copy, since) : since;
     };
-    if (const auto found = purged_objects_.find(pull.object); found != purged_objects_.end())
+    if (const auto found = purged_objects_.find(request.object); found != purged_objects_.end())
       bound(found->second);
-    if (const auto found = purged_groups_.find(pull.group); found != purged_groups_.end())
+    if (const auto found = purged_groups_.find(request.group); found != purged_groups_.end())
       bound(found->second);
     ++out_[node];
-    actions_.hand_off(id, node, fill, pull.retriable ? (pull.hard_stop - now) / 2 : 0);
+    actions_.hand_off(id, node, fill, request.retriable ? (request.hard_stop - now) / 2 : 0);
   }
 
   Kind kind_;
@@ -200,7 +204,7 @@
   int here_ = 0;
   std::map<NodeId, Node> nodes_;
   std::map<NodeId, int> out_;
-  std::map<PullId, Pull> pulls_;
+  std::map<RequestId, Request> requests_;
   std::map<std::uint64_t, Seconds> purged_objects_;
   std::map<std::int64_t, Seconds> purged_groups_;
 };
--- a/src/lab/world/judge.hpp
+++ b/src/lab/world/judge.hpp
@@ -16,12 +16,12 @@
   virtual void list_entry(Seconds now, const NodeId& node, ZoneIndex zone, KindIndex kind, CellIndex cell,
                           Readiness readiness, double weight, Seconds launched) = 0;
   virtual void list_ends(Seconds now) = 0;
-  virtual void pull_arrived(Seconds now, const PullId& pull, GradeIndex grade, ObjectId object,
-                            PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool resent,
-                            bool is_write) = 0;
-  virtual void pull_dropped(Seconds now, const PullId& pull) = 0;
-  virtual void hand_off_ended(Seconds now, const PullId& pull, HandOffNumber number, const NodeId& node,
-                              Result result, Note note, Seconds waited, Seconds spent, bool pull_over) = 0;
+  virtual void request_arrived(Seconds now, const RequestId& request, GradeIndex grade, ObjectId object,
+                               PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool resent,
+                               bool is_write) = 0;
+  virtual void request_dropped(Seconds now, const RequestId& request) = 0;
+  virtual void hand_off_ended(Seconds now, const RequestId& request, HandOffNumber number, const NodeId& node,
+                              Result result, Note note, Seconds waited, Seconds spent, bool request_over) = 0;
   virtual void object_purged(Seconds now, ObjectId object, Seconds age) = 0;
   virtual void group_purged(Seconds now, GroupId group, Seconds age) = 0;
   virtual void woken(Seconds now, const TimerToken& token) = 0;
--- a/src/lab/world/plan.hpp
+++ b/src/lab/world/plan.hpp
@@ -1,5 +1,5 @@
 // What an experiment says of the world, its load and its faults. Plain values; lab/experiment.cpp reads them
-// from JSON. Times in seconds, sizes in KB, rates in pulls or KB a second.
+// from JSON. Times in seconds, sizes in KB, rates in requests or KB a second.
 #pragma once
 
 #include <cstdint>
@@ -17,7 +17,7 @@
   Effect effect = Effect::kRetriable;
   Seconds contract = 0.5, stop = 3;               // contract time before its stretch, hard stop
   double stretch = 2;                             // x the bare sending time, added to the contract time
-  double share = 1, size_kb = 100, spread = 0.5;  // of the pulls; median and sigma of a lognormal size
+  double share = 1, size_kb = 100, spread = 0.5;  // of the requests; median and sigma of a lognormal size
   bool write = false;
   Seconds fresh = 0, grace = 0;
 };
@@ -42,11 +42,11 @@
 };
 
 struct LoadPlan {
-  double rate = 500;  // pulls a second, all clients together
+  double rate = 500;  // requests a second, all clients together
   double objects = 20000, zipf = 0.9,
          life = 120;             // life: seconds after which an object gives way to a new one
   int groups = 64, retries = 0;  // retries of a bounced client
-  double once = 0;               // share of pulls for objects that nobody asks for again
+  double once = 0;               // share of requests for objects that nobody asks for again
   std::vector<GradePlan> grades;
 };
 
@@ -64,7 +64,7 @@
   LoadPlan load;
   std::vector<FaultPlan> faults;
   Seconds lasts = 20, sample = 1;
-  Seconds settles = 0;  // pulls of the first seconds are played and audited, and not counted for utility
+  Seconds settles = 0;  // requests of the first seconds are played and audited, and not counted for utility
 };
 
 }  // namespace hareramp::lab
--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -27,7 +27,7 @@
 constexpr Seconds kPurgeDone = 6;   // s within which nodes drop what was purged
 
 enum class What : std::uint8_t {
-  kArrival,     // the next pull of the load
+  kArrival,     // the next request of the load
   kCome,        // a hand-off comes to its node
   kSource,      // a fill comes to its source
   kOriginCome,  // a parent's fetch comes to the origin
@@ -35,7 +35,7 @@
   kEnd,         // the end of a hand-off reaches its director
   kWake,        // a director's timer
   kTimeOut,     // a hand-off's time
-  kHardStop,    // a pull's time
+  kHardStop,    // a request's time
   kTold,        // a change of the list reaches a director
   kPurgeTold,   // a purge does
   kFault,       // a fault begins or ends
@@ -164,7 +164,7 @@
 
 // A hand-off on its way through the world.
 struct Attempt {
-  std::uint64_t id = 0, pull = 0;
+  std::uint64_t id = 0, request = 0;
   std::uint32_t director = 0, node = 0, source = 0;
   int number = 0, rank = 0;
   bool out = true, join = false, held_only = false, counted = false, at_source = false, filling = false;
@@ -175,7 +175,7 @@
   Result result = Result::kCompleted;
 };
 
-struct Pull {
+struct Request {
   std::uint32_t director = 0, grade = 0;
   std::uint64_t object = 0;
   int part = 0, group = 0, retries = 0;
@@ -192,10 +192,11 @@
 class Host : public Actions {
  public:
   Host(World& world, std::uint32_t number) : world_(world), number_(number) {}
-  void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override;
-  void cancel(const PullId& pull, HandOffNumber number) override;
-  void bounce(const PullId& pull, Seconds come_back_in) override;
-  void forfeit(const PullId& pull) override;
+  void hand_off(const RequestId& request, const NodeId& node, const FillTerms& fill,
+                Seconds time_out) override;
+  void cancel(const RequestId& request, HandOffNumber number) override;
+  void bounce(const RequestId& request, Seconds come_back_in) override;
+  void forfeit(const RequestId& request) override;
   void wake(Seconds at, const TimerToken& token) override;
   void probe(const NodeId&) override {}
   void follow_list() override {}
@@ -246,42 +247,43 @@
   }
 
   // --- what directors ask for ---
-  void hand_off(Host& host, const PullId& id, const NodeId& node, const FillTerms& fill, Seconds time_out) {
-    const std::uint64_t number = pull_number(id);
-    Pull& pull = pulls_.at(number);
-    send(host, number, pull, node, fill, time_out);
-    if (mutant_ == Mutant::kResendsBinding && grade(pull).effect == Effect::kBinding &&
-        pull.attempts.size() == 1)
-      send(host, number, pull, node, fill, time_out);
-  }
-  void cancel(Host&, const PullId& id, HandOffNumber number) {
-    const Pull* pull = pulls_.find(pull_number(id));
-    if (!pull) return;
-    for (const std::uint64_t attempt : pull->attempts) {
+  void hand_off(Host& host, const RequestId& id, const NodeId& node, const FillTerms& fill,
+                Seconds time_out) {
+    const std::uint64_t number = request_number(id);
+    Request& request = requests_.at(number);
+    send(host, number, request, node, fill, time_out);
+    if (mutant_ == Mutant::kResendsBinding && grade(request).effect == Effect::kBinding &&
+        request.attempts.size() == 1)
+      send(host, number, request, node, fill, time_out);
+  }
+  void cancel(Host&, const RequestId& id, HandOffNumber number) {
+    const Request* request = requests_.find(request_number(id));
+    if (!request) return;
+    for (const std::uint64_t attempt : request->attempts) {
       Attempt* held = attempts_.find(attempt);
       if (!held || held->number != number.value || !held->out) continue;
       end_later(*held, Result::kCancelled, 0);
     }
   }
-  void bounce(const PullId& id, Seconds come_back_in) {
-    const std::uint64_t number = pull_number(id);
-    Pull& pull = pulls_.at(number);
-    if (!pull.owed) return;
-    note_end(pull, 0);
+  void bounce(const RequestId& id, Seconds come_back_in) {
+    const std::uint64_t number = request_number(id);
+    Request& request = requests_.at(number);
+    if (!request.owed) return;
+    note_end(request, 0);
     auditor_.answered(now_, number, Auditor::Answer::kBounced);
     mix(number * 4 + 1);
-    if (pull.retries < plan_.load.retries) {
+    if (request.retries < plan_.load.retries) {
       const Seconds pause = come_back_in > 0 ? come_back_in : 0.1;
-      retries_[next_retry_] = {pull, number};
+      retries_[next_retry_] = {request, number};
       at(now_ + pause * std::uniform_real_distribution<double>(1, 1.5)(chance_), What::kRetry, 0,
          next_retry_++);
     }
   }
-  void forfeit(const PullId& id) {
-    const std::uint64_t number = pull_number(id);
-    Pull& pull = pulls_.at(number);
-    if (!pull.owed) return;
-    note_end(pull, 0);
+  void forfeit(const RequestId& id) {
+    const std::uint64_t number = request_number(id);
+    Request& request = requests_.at(number);
+    if (!request.owed) return;
+    note_end(request, 0);
     auditor_.answered(now_, number, Auditor::Answer::kForfeited);
     mix(number * 4 + 2);
   }
@@ -292,9 +294,9 @@
   }
 
  private:
-  const GradePlan& grade(const Pull& pull) const { return plan_.load.grades[pull.grade]; }
-  static std::uint64_t pull_number(const PullId& id) { return std::stoull(id.value, nullptr, 16); }
-  static PullId pull_id(std::uint64_t number) { return {fmt::format("{:016x}", number)}; }
+  const GradePlan& grade(const Request& request) const { return plan_.load.grades[request.grade]; }
+  static std::uint64_t request_number(const RequestId& id) { return std::stoull(id.value, nullptr, 16); }
+  static RequestId request_id(std::uint64_t number) { return {fmt::format("{:016x}", number)}; }
   void mix(std::uint64_t value) {
     day_.fingerprint = hashed(value ^ day_.fingerprint, static_cast<std::uint64_t>(now_ * 1e6));
   }
@@ -421,51 +423,51 @@
     at(now_ + std::exponential_distribution<double>(plan_.load.rate * burst_)(chance_), What::kArrival, 0, 0);
   }
   void arrive() {
-    Pull pull;
-    pull.director = std::uniform_int_distribution<std::uint32_t>(
+    Request request;
+    request.director = std::uniform_int_distribution<std::uint32_t>(
         0, static_cast<std::uint32_t>(hosts_.size()) - 1)(chance_);
-    pull.grade = pick_grade_(chance_);
+    request.grade = pick_grade_(chance_);
     const double draw = std::uniform_real_distribution<double>(0, popularity_.back())(chance_);
     const auto rank = static_cast<std::uint64_t>(
         std::lower_bound(popularity_.begin(), popularity_.end(), draw) - popularity_.begin());
     if (std::uniform_real_distribution<double>(0, 1)(chance_) < plan_.load.once) {
-      pull.object = hashed(next_pull_, 77);
+      request.object = hashed(next_request_, 77);
     } else {
       // Each rank's object gives way to a new one from time to time, not all of them at once.
       const double phase = static_cast<double>(hashed(rank, seed_) % 1000) / 1000;
-      pull.object = hashed(rank, 1 + static_cast<std::uint64_t>(now_ / plan_.load.life + phase));
+      request.object = hashed(rank, 1 + static_cast<std::uint64_t>(now_ / plan_.load.life + phase));
     }
-    const GradePlan& of = plan_.load.grades[pull.grade];
+    const GradePlan& of = plan_.load.grades[request.grade];
     // An object has one size, whoever asks.
-    std::minstd_rand own(static_cast<std::uint32_t>(hashed(pull.object, pull.grade)));
-    pull.size_kb = of.size_kb * std::exp(std::normal_distribution<double>(0, of.spread)(own));
-    pull.group = static_cast<int>(pull.object % static_cast<std::uint64_t>(plan_.load.groups));
-    take(pull);
+    std::minstd_rand own(static_cast<std::uint32_t>(hashed(request.object, request.grade)));
+    request.size_kb = of.size_kb * std::exp(std::normal_distribution<double>(0, of.spread)(own));
+    request.group = static_cast<int>(request.object % static_cast<std::uint64_t>(plan_.load.groups));
+    take(request);
     next_arrival();
   }
-  void take(Pull pull) {
-    const std::uint64_t number = next_pull_++;
-    const GradePlan& of = plan_.load.grades[pull.grade];
-    pull.arrived = now_, pull.hard_stop = now_ + of.stop, pull.owed = true;
-    pull.attempts.clear();
-    pull.counts = now_ >= kStart + plan_.settles;
-    auditor_.taken(number, pull.hard_stop);
+  void take(Request request) {
+    const std::uint64_t number = next_request_++;
+    const GradePlan& of = plan_.load.grades[request.grade];
+    request.arrived = now_, request.hard_stop = now_ + of.stop, request.owed = true;
+    request.attempts.clear();
+    request.counts = now_ >= kStart + plan_.settles;
+    auditor_.taken(number, request.hard_stop);
     ++open_;
-    Host& host = *hosts_[pull.director];
-    const Pull& held = pulls_.emplace(number, std::move(pull));
+    Host& host = *hosts_[request.director];
+    const Request& held = requests_.emplace(number, std::move(request));
     at(held.hard_stop, What::kHardStop, held.director, number);
     if (held.counts) could_[held.grade] += 1;
-    host.judge->pull_arrived(now_, pull_id(number), {static_cast<int>(held.grade)}, {held.object},
-                             {held.part}, {held.group}, held.hard_stop - 0.03, held.size_kb, held.retries > 0,
-                             of.write);
+    host.judge->request_arrived(now_, request_id(number), {static_cast<int>(held.grade)}, {held.object},
+                                {held.part}, {held.group}, held.hard_stop - 0.03, held.size_kb,
+                                held.retries > 0, of.write);
   }
 
   // --- hand-offs ---
-  void send(Host& host, std::uint64_t number, Pull& pull, const NodeId& node, const FillTerms& fill,
+  void send(Host& host, std::uint64_t number, Request& request, const NodeId& node, const FillTerms& fill,
             Seconds time_out) {
     Attempt attempt;
     attempt.id = next_attempt_++;
-    attempt.pull = number, attempt.director = host.number_;
+    attempt.request = number, attempt.director = host.number_;
     attempt.node = by_id_.at(node.value);
     if (mutant_ == Mutant::kIgnoresCold)  // whatever was chosen, the node that started last gets it
       for (std::uint32_t n = 0; n < nodes_.size(); ++n)
@@ -474,17 +476,18 @@
           attempt.node = n;
     const auto source = by_id_.find(fill.source.value);
     attempt.source = source == by_id_.end() ? attempt.node : source->second;
-    attempt.number = static_cast<int>(pull.attempts.size());
+    attempt.number = static_cast<int>(request.attempts.size());
     attempt.rank = fill.rank, attempt.join = fill.join, attempt.held_only = fill.held_only;
-    attempt.object = pull.object, attempt.unit = hashed(pull.object, pull.grade);
+    attempt.object = request.object, attempt.unit = hashed(request.object, request.grade);
     attempt.sent = now_;
-    attempt.oldest = mutant_ == Mutant::kIgnoresPurge ? grade(pull).fresh : fill.oldest_copy;
+    attempt.oldest = mutant_ == Mutant::kIgnoresPurge ? grade(request).fresh : fill.oldest_copy;
     attempt.told_drain = host.drain_told[attempt.node];
-    pull.attempts.push_back(attempt.id);
+    request.attempts.push_back(attempt.id);
     ++hand_offs_;
     mix(attempt.node * 8 + 3);
     at(now_ + way_to(nodes_[attempt.node]), What::kCome, attempt.node, attempt.id);
-    const Seconds until = std::min(time_out > 0 ? now_ + time_out : pull.hard_stop, pull.hard_stop - 0.03);
+    const Seconds until =
+        std::min(time_out > 0 ? now_ + time_out : request.hard_stop, request.hard_stop - 0.03);
     at(std::max(until, now_), What::kTimeOut, attempt.node, attempt.id);
     attempts_.emplace(attempt.id, std::move(attempt));
   }
@@ -518,14 +521,14 @@
     if (!node.up) return end_later(*attempt, Result::kUnreachable, back);
     if (node.silent) return;
     attempt->node_life = node.life;
-    const Pull& pull = pulls_.at(attempt->pull);
+    const Request& request = requests_.at(attempt->request);
     auditor_.came(attempt->sent, attempt->told_drain);
-    if (!heat(attempt->node, pull.size_kb / plan_.world.flow_kb_per_s)) return;
+    if (!heat(attempt->node, request.size_kb / plan_.world.flow_kb_per_s)) return;
     if (node.refuses || node.held >= node.waiting * node.slots)
       return end_later(*attempt, Result::kTurnedAway, back);
     attempt->counted = true;
     ++node.held;
-    if (grade(pull).write) return write(*attempt, pull);
+    if (grade(request).write) return write(*attempt, request);
     const Memory::Copy* copy = node.memory.find(attempt->unit);
     if (node.kind == 2) {
       attempt->copy_at = now_, attempt->note = Note::kHit;
@@ -574,7 +577,7 @@
     return node.slots *
            (node.launched <= 0 ? 1 : plan_.world.start_share + (1 - plan_.world.start_share) * age);
   }
-  void write(Attempt& attempt, const Pull& pull) {
+  void write(Attempt& attempt, const Request& request) {
     // It runs at the origin, straight or by way of the node.
     const Seconds extra = nodes_[attempt.node].kind == 2 ? 0 : 2 * plan_.world.way_origin;
     if (!nodes_[origin_].up || nodes_[origin_].refuses) {
@@ -583,7 +586,7 @@
       return end_later(attempt, nodes_[attempt.node].kind == 2 ? Result::kTurnedAway : Result::kError,
                        extra + way_to(nodes_[attempt.node]));
     }
-    auditor_.ran(attempt.pull, grade(pull).effect);
+    auditor_.ran(attempt.request, grade(request).effect);
     attempt.note = Note::kHit, attempt.copy_at = now_;
     let_go(attempt);
     end_later(attempt, Result::kCompleted,
@@ -592,7 +595,7 @@
   void transfer(std::uint32_t n, Attempt& attempt) {
     Node& node = nodes_[n];
     node.link.set_capacity(now_, present(node) * plan_.world.flow_kb_per_s / node.slow);
-    node.link.add(now_, attempt.id, pulls_.at(attempt.pull).size_kb);
+    node.link.add(now_, attempt.id, requests_.at(attempt.request).size_kb);
     watch_link(n);
   }
   void watch_link(std::uint32_t n) {
@@ -640,10 +643,10 @@
     Attempt* attempt = held(id);
     if (!attempt || !there(*attempt)) return;
     Node& source = nodes_[attempt->source];
-    const Pull& pull = pulls_.at(attempt->pull);
+    const Request& request = requests_.at(attempt->request);
     if (!source.up) return fill_failed(*attempt, Result::kError, Note::kSourceLost);
     if (source.silent) return;  // the hand-off's time-out ends it
-    if (!heat(attempt->source, pull.size_kb / plan_.world.flow_kb_per_s))
+    if (!heat(attempt->source, request.size_kb / plan_.world.flow_kb_per_s))
       return fill_failed(*attempt, Result::kError, Note::kSourceLost);
     if (source.refuses || source.held >= source.waiting * source.slots)
       return fill_failed(*attempt, Result::kError, Note::kSourceRefused);
@@ -716,66 +719,66 @@
   void ended(std::uint64_t id) {
     Attempt* attempt = held(id);
     if (!attempt) return;
-    Pull* const found = pulls_.find(attempt->pull);
+    Request* const found = requests_.find(attempt->request);
     if (!found) return;
-    Pull& pull = *found;
+    Request& request = *found;
     Host& host = *hosts_[attempt->director];
-    if (mutant_ == Mutant::kSwallows && attempt->result == Result::kCompleted && attempt->pull % 50 == 0) {
-      pull.owed = false;  // it is taken for answered, and stays open
-    } else if (attempt->result == Result::kCompleted && pull.owed) {
-      check_copy(host, *attempt, pull);
-      const GradePlan& of = grade(pull);
-      const Seconds spent = now_ - pull.arrived;
-      const Seconds contract = of.contract + of.stretch * pull.size_kb / plan_.world.flow_kb_per_s;
+    if (mutant_ == Mutant::kSwallows && attempt->result == Result::kCompleted && attempt->request % 50 == 0) {
+      request.owed = false;  // it is taken for answered, and stays open
+    } else if (attempt->result == Result::kCompleted && request.owed) {
+      check_copy(host, *attempt, request);
+      const GradePlan& of = grade(request);
+      const Seconds spent = now_ - request.arrived;
+      const Seconds contract = of.contract + of.stretch * request.size_kb / plan_.world.flow_kb_per_s;
       const double worth =
           spent <= contract ? 1 : std::max(0.0, 1 - (spent - contract) / std::max(1e-9, of.stop - contract));
-      note_end(pull, worth);
-      if (pull.counts) latencies_.push_back(spent);
-      auditor_.answered(now_, attempt->pull, Auditor::Answer::kCompleted);
-      if (mutant_ == Mutant::kAnswersTwice && attempt->pull % 50 == 0)
-        auditor_.answered(now_, attempt->pull, Auditor::Answer::kCompleted);
-      mix(attempt->pull * 4);
+      note_end(request, worth);
+      if (request.counts) latencies_.push_back(spent);
+      auditor_.answered(now_, attempt->request, Auditor::Answer::kCompleted);
+      if (mutant_ == Mutant::kAnswersTwice && attempt->request % 50 == 0)
+        auditor_.answered(now_, attempt->request, Auditor::Answer::kCompleted);
+      mix(attempt->request * 4);
     }
     const Attempt over = *attempt;
-    host.judge->hand_off_ended(now_, pull_id(over.pull), {over.number}, nodes_[over.node].id, over.result,
-                               over.note, over.waited_from > 0 ? now_ - over.waited_from : 0,
-                               now_ - over.sent, !pull.owed);
+    host.judge->hand_off_ended(now_, request_id(over.request), {over.number}, nodes_[over.node].id,
+                               over.result, over.note, over.waited_from > 0 ? now_ - over.waited_from : 0,
+                               now_ - over.sent, !request.owed);
   }
-  void check_copy(Host& host, const Attempt& attempt, const Pull& pull) {
+  void check_copy(Host& host, const Attempt& attempt, const Request& request) {
     const auto check = [&](const auto& purges, const auto& key) {
       const auto found = purges.find(key);
       if (found != purges.end())
         auditor_.copy_used(attempt.sent, attempt.copy_at, found->second.first, found->second.second);
     };
     check(host.objects_purged, attempt.object);
-    check(host.groups_purged, pull.group);
+    check(host.groups_purged, request.group);
   }
-  void note_end(Pull& pull, double worth) {
-    pull.owed = false;
-    if (mutant_ != Mutant::kMiscounts || next_pull_ % 100 != 0) --open_;
-    if (pull.counts) earned_[pull.grade] += worth;
+  void note_end(Request& request, double worth) {
+    request.owed = false;
+    if (mutant_ != Mutant::kMiscounts || next_request_ % 100 != 0) --open_;
+    if (request.counts) earned_[request.grade] += worth;
     ++sample_.ended;
     sample_.utility += worth;
   }
   void hard_stop(std::uint64_t number) {
-    Pull* const found = pulls_.find(number);
+    Request* const found = requests_.find(number);
     if (!found) return;
-    Pull& pull = *found;
-    if (pull.owed) {  // the client's time is up: the director has had its last moment
-      hosts_[pull.director]->judge->pull_dropped(now_, pull_id(number));
-      note_end(pull, 0);
+    Request& request = *found;
+    if (request.owed) {  // the client's time is up: the director has had its last moment
+      hosts_[request.director]->judge->request_dropped(now_, request_id(number));
+      note_end(request, 0);
       auditor_.answered(now_, number, Auditor::Answer::kForfeited);
     }
     at(now_ + 2, What::kSample, 1, number);  // forgotten once nothing of it can be under way
   }
   void forget(std::uint64_t number) {
-    const Pull* found = pulls_.find(number);
+    const Request* found = requests_.find(number);
     if (!found) return;
     for (const std::uint64_t id : found->attempts) {
       if (Attempt* attempt = held(id)) drop_traces(*attempt);
       attempts_.erase(id);
     }
-    pulls_.erase(number);
+    requests_.erase(number);
   }
   void drop_traces(Attempt& attempt) {
     let_go(attempt);
@@ -871,11 +874,11 @@
   }
   void restart_director(Host& host) {
     // What it had taken is lost with it; its clients see their connections end.
-    pulls_.each([&](std::uint64_t number, Pull& pull) {
-      if (pull.director != host.number_ || !pull.owed) return;
-      note_end(pull, 0);
+    requests_.each([&](std::uint64_t number, Request& request) {
+      if (request.director != host.number_ || !request.owed) return;
+      note_end(request, 0);
       auditor_.answered(now_, number, Auditor::Answer::kLeft);
-      for (const std::uint64_t id : pull.attempts)
+      for (const std::uint64_t id : request.attempts)
         if (Attempt* attempt = held(id)) attempt->out = false;
     });
     host.timers.clear();
@@ -988,9 +991,9 @@
       case What::kDrop:
         return drop_purged(nodes_[event.a], event.b);
       case What::kRetry: {
-        auto [pull, first] = retries_.extract(event.b).mapped();
-        ++pull.retries;
-        return take(pull);
+        auto [request, first] = retries_.extract(event.b).mapped();
+        ++request.retries;
+        return take(request);
       }
     }
   }
@@ -1017,7 +1020,7 @@
     }
     day_.utility = could > 0 ? earned / could : 0;
     const auto taken = static_cast<double>(std::max<std::uint64_t>(1, day_.findings.taken));
-    day_.hand_offs_per_pull = static_cast<double>(hand_offs_) / taken;
+    day_.hand_offs_per_request = static_cast<double>(hand_offs_) / taken;
     day_.origin_share = static_cast<double>(origin_fetches_) / taken;
     std::sort(latencies_.begin(), latencies_.end());
     const auto quantile = [&](double share) {
@@ -1035,7 +1038,7 @@
   std::mt19937_64 chance_;
   Auditor auditor_;
   Seconds now_ = kStart;
-  std::uint64_t order_ = 0, next_pull_ = 1, next_attempt_ = 1, next_timer_ = 1, next_retry_ = 1, open_ = 0;
+  std::uint64_t order_ = 0, next_request_ = 1, next_attempt_ = 1, next_timer_ = 1, next_retry_ = 1, open_ = 0;
   std::uint64_t hand_offs_ = 0, origin_fetches_ = 0, hand_offs_before_ = 0, origin_before_ = 0;
   double burst_ = 1, list_lag_ = 1;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
@@ -1043,9 +1046,9 @@
   std::uint32_t origin_ = 0;
   std::unordered_map<std::string, std::uint32_t> by_id_;
   std::vector<std::unique_ptr<Host>> hosts_;
-  Window<Pull> pulls_;
+  Window<Request> requests_;
   Window<Attempt> attempts_;
-  std::map<std::uint64_t, std::pair<Pull, std::uint64_t>> retries_;
+  std::map<std::uint64_t, std::pair<Request, std::uint64_t>> retries_;
   std::vector<FaultPlan> rolls_;
   std::vector<Purge> purges_;
   std::vector<double> popularity_, shares_, earned_, could_, latencies_;
@@ -1055,12 +1058,12 @@
   Day day_;
 };
 
-void Host::hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) {
-  world_.hand_off(*this, pull, node, fill, time_out);
+void Host::hand_off(const RequestId& request, const NodeId& node, const FillTerms& fill, Seconds time_out) {
+  world_.hand_off(*this, request, node, fill, time_out);
 }
-void Host::cancel(const PullId& pull, HandOffNumber number) { world_.cancel(*this, pull, number); }
-void Host::bounce(const PullId& pull, Seconds come_back_in) { world_.bounce(pull, come_back_in); }
-void Host::forfeit(const PullId& pull) { world_.forfeit(pull); }
+void Host::cancel(const RequestId& request, HandOffNumber number) { world_.cancel(*this, request, number); }
+void Host::bounce(const RequestId& request, Seconds come_back_in) { world_.bounce(request, come_back_in); }
+void Host::forfeit(const RequestId& request) { world_.forfeit(request); }
 void Host::wake(Seconds at, const TimerToken& token) { world_.wake(*this, at, token); }
 
 }  // namespace
--- a/src/lab/world/world.hpp
+++ b/src/lab/world/world.hpp
@@ -29,7 +29,7 @@
 
 struct Sample {
   Seconds at = 0;
-  double utility = 0;  // earned of what could be, by the pulls that ended since the sample before
+  double utility = 0;  // earned of what could be, by the requests that ended since the sample before
   std::uint64_t ended = 0, completed = 0, bounced = 0, forfeited = 0, hand_offs = 0, origin = 0;
 };
 
@@ -37,7 +37,7 @@
   Findings findings;
   double utility = 0;          // earned of what could be
   std::vector<double> grades;  // the same by service grade
-  double hand_offs_per_pull = 0, origin_share = 0;
+  double hand_offs_per_request = 0, origin_share = 0;
   double p50 = 0, p99 = 0;  // seconds to the answers completed
   std::uint64_t events = 0;
   std::vector<Sample> samples;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,6 +1,6 @@
 // The decisions of hareramp, all of them. A protocol adapter calls the methods of Director (policy.hpp); what
 // the module wants done goes out through Actions. After every input the ordered rules of kRules (below) are
-// gone through for each pull that the input touched, from the top, until none fires.
+// gone through for each request that the input touched, from the top, until none fires.
 //
 // The design (docs/design.md): home cache by hash, hot objects spread over the top two and fill from each
 // other, all other fills from a parent by a hash over all listed parents, each kept by the three-band rule.
@@ -9,8 +9,8 @@
 //   2. patience   a look before a fill; a further hand-off while it can still help, none without time for it
 //   3. budgets    what a node that has just started may be sent over any span (caches, parents, sources)
 //   4. purges     the oldest copy that will do, never older than the last purge told; stale copies at need
-//   5. load       rooms of nodes, parts of the pulls that may fill and may reach the origin, few retries;
-//                 a pull nobody can take is given its final answer at once
+//   5. load       rooms of nodes, parts of the requests that may fill and may reach the origin, few retries;
+//                 a request nobody can take is given its final answer at once
 //   6. ranks      what was asked for once is dropped before what was asked for again
 #include "policy.hpp"
 
@@ -46,27 +46,29 @@
 constexpr double kCrowd = 2.0;         // transfers for each that a link bears at full pace: a room's start
 constexpr double kLinkFull = 2.5;      // transfers for each that fits a location's link at a fill's pace
 constexpr double kTight = 0.6;         // of the contract time's slack over bare sending: more shows a crowd
-constexpr double kCut = 0.9;           // x: a node's room after a pull that took longer than that
-constexpr double kGrow = 0.1;        // transfers: more room after one in good time, at a node near its limit
-constexpr double kGrowFirst = 0.5;   // transfers: the same until its first crowd: nothing may tell of a link
-constexpr double kNearLimit = 0.7;   // of its room in use: below it a good answer proves nothing
-constexpr double kSizes = 2.5;       // x the mean sending time, or a part of it: beyond, size counts no more
-constexpr double kDragFull = 2.0;    // x a hit's time for its bytes: a fill that takes more shows a full link
-constexpr int kFillsTell = 2;        // fills that one judgement of the link rests on
-constexpr double kLinkCut = 0.5;     // x: the most that one report of a full link takes off the part of pulls
-constexpr double kLinkGrow = 0.2;    // of the pulls: that many more may fill at a report of an empty link
-constexpr double kLinkLeast = 0.05;  // of the pulls: fewer would leave the caches behind it cold for good
+constexpr double kCut = 0.9;           // x: a node's room after a request that took longer than that
+constexpr double kGrow = 0.1;       // transfers: more room after one in good time, at a node near its limit
+constexpr double kGrowFirst = 0.5;  // transfers: the same until its first crowd: nothing may tell of a link
+constexpr double kNearLimit = 0.7;  // of its room in use: below it a good answer proves nothing
+constexpr double kSizes = 2.5;      // x the mean sending time, or a part of it: beyond, size counts no more
+constexpr double kDragFull = 2.0;   // x a hit's time for its bytes: a fill that takes more shows a full link
+constexpr int kFillsTell = 2;       // fills that one judgement of the link rests on
+constexpr double kLinkCut = 0.5;  // x: the most that one report of a full link takes off the part of requests
+constexpr double kLinkGrow = 0.2;    // of the requests: that many more may fill at a report of an empty link
+constexpr double kLinkLeast = 0.05;  // of the requests: fewer would leave the caches behind it cold for good
 constexpr Seconds kReportEvery = 0.5;  // s: reports closer than this are taken for the same one
 constexpr Seconds kLookAgain = 0.15;   // s: before looking again for a copy that is under way
-constexpr int kLooks = 3;              // looks for a pull: the hand-offs left must do for its own fill
-constexpr double kOriginCut = 0.7;    // x: the part of pulls that may reach the origin, after a failure there
-constexpr double kOriginLate = 0.5;   // x: the same for what is late there: it has queued a while unseen
-constexpr double kOriginGrow = 0.2;   // of the pulls a second: more of them as its answers come in good time
-constexpr Seconds kOriginCalm = 2.0;  // s without a failure there: after each, twice as many may reach it
-constexpr double kOriginSlow = 5.0;   // x the usual wait for it: more shows a crowd before it refuses
+constexpr int kLooks = 3;              // looks for a request: the hand-offs left must do for its own fill
+constexpr double kOriginCut =
+    0.7;  // x: the part of requests that may reach the origin, after a failure there
+constexpr double kOriginLate = 0.5;  // x: the same for what is late there: it has queued a while unseen
+constexpr double kOriginGrow =
+    0.2;  // of the requests a second: more of them as its answers come in good time
+constexpr Seconds kOriginCalm = 2.0;    // s without a failure there: after each, twice as many may reach it
+constexpr double kOriginSlow = 5.0;     // x the usual wait for it: more shows a crowd before it refuses
 constexpr double kOriginDeepest = 0.3;  // x: the most that one slow answer cuts
 constexpr Seconds kLeastWait = 0.02;    // s: waits under this tell of the way there, not of a crowd
-constexpr double kOriginLeast = 0.05;   // of the pulls: fewer would not tell when the origin is back
+constexpr double kOriginLeast = 0.05;   // of the requests: fewer would not tell when the origin is back
 constexpr double kEarned = 0.2;       // further fills that one good fill earns: what retries may add at most
 constexpr double kSaved = 5;          // further fills saved up: enough for the first moments of a failure
 constexpr Seconds kPause = 0.1;       // s: about so long before a write turned away asks the origin again
@@ -75,7 +77,7 @@
 constexpr Seconds kRemember = 30.0;   // s: how long an object counts as asked for before
 constexpr Seconds kSweepEvery = 5.0;  // s: between sweeps of what is no longer needed
 constexpr Seconds kLeastAge = 1e-5;   // s: an age bound must never round to 0, which means any age
-constexpr int kTop = 2;               // caches by the hash that a pull may go to when others are crowded
+constexpr int kTop = 2;               // caches by the hash that a request may go to when others are crowded
 
 constexpr int kNobody = -1;
 constexpr Seconds kLongAgo = -1e9;
@@ -133,8 +135,8 @@
   double source_charge = 0;
 };
 
-struct Pull {
-  PullId id;
+struct Request {
+  RequestId id;
   int grade = 0;
   std::uint64_t object = 0, unit = 0;
   std::int64_t group = 0;
@@ -166,8 +168,8 @@
 struct Director::Mind {
   struct Rule {
     const char* name;
-    bool (Mind::*when)(const Pull&);
-    void (Mind::*then)(Pull&);
+    bool (Mind::*when)(const Request&);
+    void (Mind::*then)(Request&);
   };
   static const std::vector<Rule> kRules;
 
@@ -220,7 +222,7 @@
     return found.empty() ? fallback : found;
   }
 
-  // Read once: a look-up by name for each question of each pull was most of what a pull cost.
+  // Read once: a look-up by name for each question of each request was most of what a request cost.
   void read_permissions() {
     for (const auto& [name, value] :
          std::initializer_list<std::pair<const char*, bool*>>{{"FamilyInfo.CanJoin", &can_join},
@@ -254,7 +256,7 @@
   bool is_cache_kind(int n) const { return !is_parent(n) && !is_origin(n); }
   bool is_cache(int n) const { return is_cache_kind(n) && zone[n] == here; }
   int origin() const { return origin_node; }
-  // Whenever a node or its kind or place changes: nobody goes through the whole fleet for a pull.
+  // Whenever a node or its kind or place changes: nobody goes through the whole fleet for a request.
   void sort_out_kinds() {
     ++list_turn, all_parents.clear(), own_caches.clear(), origin_node = kNobody;
     for (int n = 0; n < count(); ++n) {
@@ -298,11 +300,11 @@
     for (const auto& [score, n] : scored) order.push_back(n);
     return order;
   }
-  const std::vector<int>& caches_for(const Pull& p) const {
+  const std::vector<int>& caches_for(const Request& p) const {
     if (std::exchange(p.caches_turn, list_turn) != list_turn) p.caches = by_hash(p.unit, false);
     return p.caches;
   }
-  const std::vector<int>& parents_for(const Pull& p) const {
+  const std::vector<int>& parents_for(const Request& p) const {
     if (std::exchange(p.parents_turn, list_turn) != list_turn) p.parents = by_hash(mix(p.object), true);
     return p.parents;
   }
@@ -368,9 +370,11 @@
   // starts from the listed weight and follows what is measured, whatever slows the node down.
   double first_room(int n) const { return std::max(1.0, kCrowd * full_capacity(n) / sharers(n)); }
   double sharers(int n) const { return is_cache_kind(n) ? cache_sharers : sharers_of_all; }
-  // Pulls earn alike, whatever their size: small ones find more room and draw better lots.
-  double extra(const Pull& p) { return std::clamp(all_sends.mean() / send_time(p), 1 / kSizes, kSizes); }
-  bool has_room(const Pull& p, int n) { return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p); }
+  // Requests earn alike, whatever their size: small ones find more room and draw better lots.
+  double extra(const Request& p) { return std::clamp(all_sends.mean() / send_time(p), 1 / kSizes, kSizes); }
+  bool has_room(const Request& p, int n) {
+    return out_here[n] < std::max(1.0, warmth(n) * room[n]) * extra(p);
+  }
   void measure_room(int n, double in_use, bool crowded, Seconds sent) {
     if (!crowded && in_use >= kNearLimit * room[n]) room[n] += cut_at[n] == kLongAgo ? kGrowFirst : kGrow;
     if (!crowded || sent <= cut_at[n]) return;  // it was out already when the room was last cut
@@ -412,28 +416,30 @@
     if (at > out_since[n]) strikes[n] = 0, out_since[n] = kLongAgo;  // what was silent runs no more
   }
 
-  // --- figures of a pull ---
-  Grade& grade_of(const Pull& p) { return grades[p.grade]; }
-  double mean_send(const Pull& p) {
+  // --- figures of a request ---
+  Grade& grade_of(const Request& p) { return grades[p.grade]; }
+  double mean_send(const Request& p) {
     const Average& send = grade_of(p).send;
     return send.heard() ? send.mean() : kUnknownSend;
   }
-  double send_time(const Pull& p) { return flow > 0 && p.size_kb > 0 ? p.size_kb / flow : mean_send(p); }
-  Seconds expected(const Pull& p) { return (send_time(p) + kSetup) * (pace.heard() ? pace.mean() : 1.5); }
-  Seconds contract_time(const Pull& p) { return grade_of(p).contract + grade_of(p).stretch * send_time(p); }
+  double send_time(const Request& p) { return flow > 0 && p.size_kb > 0 ? p.size_kb / flow : mean_send(p); }
+  Seconds expected(const Request& p) { return (send_time(p) + kSetup) * (pace.heard() ? pace.mean() : 1.5); }
+  Seconds contract_time(const Request& p) {
+    return grade_of(p).contract + grade_of(p).stretch * send_time(p);
+  }
   // A further hand-off only if the time left exceeds what it is expected to take. The first is always made:
   // after a slow spell nothing else would tell that things go faster again.
-  bool time_for_another(const Pull& p) { return p.offs.empty() || p.hard_stop - now > expected(p); }
-  bool is_crowded(const Pull& p, Seconds spent) {
+  bool time_for_another(const Request& p) { return p.offs.empty() || p.hard_stop - now > expected(p); }
+  bool is_crowded(const Request& p, Seconds spent) {
     return spent - send_time(p) > kTight * (contract_time(p) - send_time(p));
   }
-  bool hand_offs_left(const Pull& p) const { return static_cast<double>(p.offs.size()) < max_attempts; }
+  bool hand_offs_left(const Request& p) const { return static_cast<double>(p.offs.size()) < max_attempts; }
 
-  // Rule 2: a fingerprinted pull that may have run stays in the group that knows the repeat, and a further
+  // Rule 2: a fingerprinted request that may have run stays in the group that knows the repeat, and a further
   // hand-off must end, not only begin, while repeats are dropped there: past the window it would run again.
-  Seconds window_left(const Pull& p) { return p.first_ran + grade_of(p).window - now; }
-  bool is_repeat(const Pull& p) { return p.may_have_run || p.out() > 0; }
-  bool may_go_to(const Pull& p, int n) {
+  Seconds window_left(const Request& p) { return p.first_ran + grade_of(p).window - now; }
+  bool is_repeat(const Request& p) { return p.may_have_run || p.out() > 0; }
+  bool may_go_to(const Request& p, int n) {
     const Grade& grade = grade_of(p);
     if (grade.effect == Effect::kRetriable || !is_repeat(p)) return true;
     if (grade.effect == Effect::kBinding || window_left(p) <= expected(p)) return false;
@@ -443,7 +449,7 @@
   }
 
   // The design's spread: what passes a quarter of its home's rate. An unheard home counts as average.
-  bool is_hot(const Pull& p, double bytes) {
+  bool is_hot(const Request& p, double bytes) {
     const std::vector<int>& order = caches_for(p);
     if (order.empty()) return false;
     double sum = 0, caches = 0;
@@ -454,7 +460,7 @@
     return rate > 0 && bytes / kHotSpan > kHotShare * rate;
   }
 
-  Seconds oldest_copy(const Pull& p) {
+  Seconds oldest_copy(const Request& p) {
     const Grade& grade = grade_of(p);
     Seconds bound = grade.fresh > 0 && p.stale_will_do ? grade.fresh + grade.grace : grade.fresh;
     // Rule 5: both kinds of purge count until every node must have dropped its older copies.
@@ -474,13 +480,14 @@
     int node = kNobody, source = kNobody, trial = kNobody;
     explicit operator bool() const { return node != kNobody && source != kNobody; }
   };
-  bool trial_due(const Pull& p, int n) {
+  bool trial_due(const Request& p, int n) {
     return grade_of(p).effect == Effect::kRetriable && p.offs.empty() && now >= next_trial[n];
   }
 
-  // The cache for a pull: its home, or the next by the hash that can take it; of the top two for a spread
-  // object the one with less of our work in hand. One that is left out gets a pull now and then as a trial.
-  Way choose_cache(const Pull& p) {
+  // The cache for a request: its home, or the next by the hash that can take it; of the top two for a spread
+  // object the one with less of our work in hand. One that is left out gets a request now and then as a
+  // trial.
+  Way choose_cache(const Request& p) {
     const double work = mean_send(p);
     std::vector<int> top;
     int asked = 0;
@@ -502,18 +509,18 @@
     return {n, n, kNobody};
   }
 
-  bool can_give(const Pull& p, int n) {
+  bool can_give(const Request& p, int n) {
     // Guards against retries that keep a jam alive after its cause has gone: fills that failed are tried
     // again only in proportion to those that come in, whatever the number of directors.
     if (p.in_vain && !is_cache_kind(n) && spare_fills < 1) return false;
     return running[n] && !p.no_origin && !holds(p.bad_sources, n) && has_budget(n, send_time(p));
   }
   // Guards against a location's link that all its directors fill at once, each within its own rooms: at each
-  // report that it is full, a smaller part of the pulls may start a fill from outside.
-  bool link_open(const Pull& p) { return p.lot <= link_part; }
-  // Guards against a crowd at the origin, whether it is slow, turns pulls away or would stop: as fills fail
-  // there, a smaller part of the pulls may make a parent fetch; the others get what parents hold.
-  bool origin_open(const Pull& p) { return is_write(p) || p.lot <= origin_part; }
+  // report that it is full, a smaller part of the requests may start a fill from outside.
+  bool link_open(const Request& p) { return p.lot <= link_part; }
+  // Guards against a crowd at the origin, whether it is slow, turns requests away or would stop: as fills
+  // fail there, a smaller part of the requests may make a parent fetch; the others get what parents hold.
+  bool origin_open(const Request& p) { return is_write(p) || p.lot <= origin_part; }
   // It grows by time, not by the number of answers: a director that hears of the origin only now and then
   // would else keep a cut for many seconds after its cause.
   void measure_origin(double keep, Seconds sent) {
@@ -539,17 +546,17 @@
     if (now - origin_calm_at < kOriginCalm) return;
     origin_part = std::min(1.0, 2 * origin_part), origin_calm_at = now;
   }
-  // Most pulls that name a source never need it: of those out, the usual part counts.
+  // Most requests that name a source never need it: of those out, the usual part counts.
   double in_use(int n) {
     return (is_cache_kind(n) ? 0 : out_here[n]) + out_from[n] * (misses.heard() ? misses.mean() : 1);
   }
-  bool source_room(const Pull& p, int n) { return in_use(n) < room[n] * extra(p); }
+  bool source_room(const Request& p, int n) { return in_use(n) < room[n] * extra(p); }
 
   // The design's companion: a spread object is filled from the other of the hash's top two. So is any other
   // while its cache has just started, and its home until then, the next by the hash, may still hold it.
   // Guards against a location's link that a release fills with copies which are there already; where the
   // other lacks it, that costs a moment and a hand-off.
-  Way spread_way(const Pull& p) {
+  Way spread_way(const Request& p) {
     const std::vector<int>& order = caches_for(p);
     const bool took_over = !order.empty() && cold(order[0]) && !p.in_vain && p.looks == 0;
     if ((!p.hot && !took_over) || !peers_fill) return {};
@@ -565,7 +572,7 @@
   }
 
   // All other fills, and retries after a sibling miss: the object's first kept parent by the hash.
-  int choose_parent(const Pull& p, int& trial) {
+  int choose_parent(const Request& p, int& trial) {
     if (!is_write(p) && !link_open(p)) return kNobody;
     for (const int n : parents_for(p)) {
       if (!can_give(p, n)) continue;
@@ -579,34 +586,34 @@
   }
   // The origin is asked only when no parent is kept. One that is kept but crowded, or that has just refused,
   // does not count: the crowd would only move on to the origin, which all parents need.
-  bool any_parent_kept(const Pull& p) {
+  bool any_parent_kept(const Request& p) {
     for (const int n : all_parents)
       if (running[n] && !is_out(n) && kept(n) && has_budget(n, send_time(p))) return true;
     return false;
   }
-  Way parent_way(const Pull& p) {
+  Way parent_way(const Request& p) {
     Way way = choose_cache(p);
     if (!way) return {};
     way.source = choose_parent(p, way.trial);
     return way;
   }
-  int choose_origin(const Pull& p) {
+  int choose_origin(const Request& p) {
     if (!is_write(p) && (!link_open(p) || !origin_open(p))) return kNobody;
     const int n = origin();
     return n != kNobody && can_give(p, n) && (is_write(p) || source_room(p, n)) ? n : kNobody;
   }
-  Way origin_way(const Pull& p) {
+  Way origin_way(const Request& p) {
     Way way = any_parent_kept(p) ? Way() : choose_cache(p);
     way.source = choose_origin(p);
     return way;
   }
   // While no source can take a fill, what the home holds can still be had: a copy may have come since a look.
-  Way held_way(const Pull& p) {
+  Way held_way(const Request& p) {
     return !p.offs.empty() && p.offs.back().source == p.offs.back().node ? Way() : choose_cache(p);
   }
-  // Guards against fills of what is being filled already, where a pull can't join one: it asks for what the
-  // home holds first, which costs a millisecond, and while the copy is under way again in a moment.
-  Way look_way(const Pull& p) {
+  // Guards against fills of what is being filled already, where a request can't join one: it asks for what
+  // the home holds first, which costs a millisecond, and while the copy is under way again in a moment.
+  Way look_way(const Request& p) {
     if (p.hot || p.in_vain || p.looks >= kLooks) return {};
     if (can_join) {
       const std::vector<int>& parents = parents_for(p);
@@ -617,7 +624,7 @@
     return way && way.trial == kNobody && !cold(way.node) ? way : Way();
   }
   // Past the caches, where the site lets us: only when none of them is up and warm enough to be asked.
-  Way straight_way(const Pull& p) {
+  Way straight_way(const Request& p) {
     if (!direct || choose_cache(p)) return {};
     Way way;
     way.node = choose_parent(p, way.trial);
@@ -628,7 +635,7 @@
     return way;
   }
   // A write is never kept: no hierarchy can serve it. It takes the way with the fewest parts that can fail.
-  Way write_way(const Pull& p) {
+  Way write_way(const Request& p) {
     const int origin = choose_origin(p);
     if (origin != kNobody && direct && may_go_to(p, origin)) return {origin, origin, kNobody};
     Way way = choose_cache(p);
@@ -636,12 +643,12 @@
     return way ? way : parent_way(p);
   }
   // A copy past its fresh time, where the grade allows one and all else has failed.
-  Way stale_way(const Pull& p) {
+  Way stale_way(const Request& p) {
     if (p.stale_will_do || grade_of(p).grace <= 0) return {};
     return choose_cache(p);
   }
 
-  void hand_off(Pull& p, const Way& way) {
+  void hand_off(Request& p, const Way& way) {
     HandOff off;
     off.node = way.node, off.source = way.source, off.sent = now, off.trial = way.trial != kNobody;
     charge(way.node, is_cache_kind(way.node) ? mean_send(p) : send_time(p));
@@ -675,22 +682,22 @@
   }
 
   // --- the rules: conditions and effects ---
-  bool owed(const Pull& p) { return !p.over && !p.bound; }
-  bool idle(const Pull& p) { return owed(p) && p.out() == 0 && now >= p.resume_at; }
-  bool ready(const Pull& p) {
+  bool owed(const Request& p) { return !p.over && !p.bound; }
+  bool idle(const Request& p) { return owed(p) && p.out() == 0 && now >= p.resume_at; }
+  bool ready(const Request& p) {
     if (!owed(p) || !hand_offs_left(p) || !time_for_another(p)) return false;
     return idle(p) || (p.overdue && p.out() == 1 && second_copies);
   }
-  bool is_write(const Pull& p) { return p.write || grade_of(p).through; }
+  bool is_write(const Request& p) { return p.write || grade_of(p).through; }
 
-  bool is_quiet(const Pull& p) { return p.over && p.out() == 0; }
-  void forget(Pull& p) { pulls.erase(PullId(p.id)); }
+  bool is_quiet(const Request& p) { return p.over && p.out() == 0; }
+  void forget(Request& p) { requests.erase(RequestId(p.id)); }
 
-  bool has_leftovers(const Pull& p) {
+  bool has_leftovers(const Request& p) {
     if (!p.over || !may_cancel) return false;
     return std::any_of(p.offs.begin(), p.offs.end(), [](const HandOff& h) { return h.out && !h.cancelled; });
   }
-  void call_off(Pull& p) {
+  void call_off(Request& p) {
     for (std::size_t i = 0; i < p.offs.size(); ++i) {
       if (!p.offs[i].out || p.offs[i].cancelled) continue;
       p.offs[i].cancelled = true;
@@ -698,19 +705,19 @@
     }
   }
 
-  bool time_is_up(const Pull& p) { return owed(p) && now >= p.hard_stop - period; }
-  void forfeit(Pull& p) { p.over = true, actions.forfeit(p.id); }
+  bool time_is_up(const Request& p) { return owed(p) && now >= p.hard_stop - period; }
+  void forfeit(Request& p) { p.over = true, actions.forfeit(p.id); }
 
-  // Rule 2: a binding pull that may have run gets no further hand-off, and no promise; nor does a
+  // Rule 2: a binding request that may have run gets no further hand-off, and no promise; nor does a
   // fingerprinted one whose mark may be forgotten before its repeat, or its client's, has ended.
-  bool is_spent(const Pull& p) {
+  bool is_spent(const Request& p) {
     const Grade& grade = grade_of(p);
     const bool binding = grade.effect == Effect::kBinding;
     const bool late_copy = grade.effect == Effect::kFingerprinted && window_left(p) <= expected(p);
     const bool stuck = p.may_have_run && (binding || late_copy);
     return idle(p) && (stuck || !hand_offs_left(p) || !time_for_another(p));
   }
-  void give_up(Pull& p) {
+  void give_up(Request& p) {
     const Grade& grade = grade_of(p);
     const bool harmless = grade.effect == Effect::kRetriable || (!p.may_have_run && p.out() == 0) ||
                           (grade.effect == Effect::kFingerprinted && grade.group == "all" &&
@@ -721,32 +728,32 @@
     actions.bounce(p.id, may_advise ? draw * most_advice : 0);
   }
 
-  template <Way (Mind::*way)(const Pull&)>
-  bool can(const Pull& p) {
+  template <Way (Mind::*way)(const Request&)>
+  bool can(const Request& p) {
     return ready(p) && !is_write(p) && (this->*way)(p);
   }
-  template <Way (Mind::*way)(const Pull&)>
-  void take(Pull& p) {
+  template <Way (Mind::*way)(const Request&)>
+  void take(Request& p) {
     hand_off(p, (this->*way)(p));
   }
-  bool has_write_way(const Pull& p) { return ready(p) && is_write(p) && write_way(p); }
-  template <Way (Mind::*way)(const Pull&)>
-  void look(Pull& p) {
+  bool has_write_way(const Request& p) { return ready(p) && is_write(p) && write_way(p); }
+  template <Way (Mind::*way)(const Request&)>
+  void look(Request& p) {
     take<way>(p), ++p.looks, p.under_way = false;
   }
-  void take_stale_way(Pull& p) {
+  void take_stale_way(Request& p) {
     const Way way = stale_way(p);
     p.stale_will_do = true;
     hand_off(p, way);
   }
 
-  void wait(Pull& p, Seconds pause) { actions.wake(p.resume_at = now + pause, {"resume:" + p.id.value}); }
-  bool is_late_alone(const Pull& p) { return owed(p) && p.overdue; }
-  void wait_on(Pull& p) { p.overdue = false; }
+  void wait(Request& p, Seconds pause) { actions.wake(p.resume_at = now + pause, {"resume:" + p.id.value}); }
+  bool is_late_alone(const Request& p) { return owed(p) && p.overdue; }
+  void wait_on(Request& p) { p.overdue = false; }
 
   void go_through_rules() {
     for (std::size_t i = 0; i < touched.size(); ++i) {
-      for (Pull* p = held(touched[i]); p; p = held(touched[i])) {
+      for (Request* p = held(touched[i]); p; p = held(touched[i])) {
         const auto fires = [&](const Rule& rule) { return (this->*rule.when)(*p); };
         const auto rule = std::find_if(kRules.begin(), kRules.end(), fires);
         if (rule == kRules.end()) break;
@@ -757,7 +764,7 @@
   }
 
   // --- what is learnt from outcomes ---
-  void learn(Pull& p, HandOff& off, Result result, Note note, Seconds waited, Seconds spent) {
+  void learn(Request& p, HandOff& off, Result result, Note note, Seconds waited, Seconds spent) {
     const int c = off.node, s = off.source;
     const bool asked = s != c;
     const bool lost = note == Note::kSourceLost;
@@ -859,7 +866,7 @@
 
   // Who is to blame for a hand-off that stays out: the cache if not heard of since, else the source if
   // nothing has come from it since. If both have been heard of, they are slow, and no other would be faster.
-  bool suspect(Pull& p, const HandOff& off) {
+  bool suspect(Request& p, const HandOff& off) {
     if (heard_at[off.node] < off.sent) {
       strike(off.node, 1);
       p.bad_nodes.push_back(off.node);
@@ -875,20 +882,20 @@
     p.bad_sources.push_back(off.source), p.in_vain = true;
     return true;
   }
-  Pull* held(const PullId& id) {
-    const auto found = pulls.find(id);
-    return found == pulls.end() ? nullptr : &found->second;
+  Request* held(const RequestId& id) {
+    const auto found = requests.find(id);
+    return found == requests.end() ? nullptr : &found->second;
   }
   // Guards against a queue at the origin that is told of only by answers that have waited in it: who has
   // heard of cache and parent since, but not of the fill, hears of the origin. Meets a slow and a crowded
   // one; it hurts where a parent's link is slow just then, for as long as its part takes to grow again. A
   // fill that takes long to send may be late by that alone.
-  bool must_be_the_origin(const Pull& p, const HandOff& off) {
+  bool must_be_the_origin(const Request& p, const HandOff& off) {
     if (is_origin(off.node)) return true;
     if (send_time(p) >= kMeasurable) return false;
     if (now - off.sent < expected(p) + (usual_wait.heard() ? usual_wait.mean() : 0)) return false;
-    // Silence blames a node only where it would have been heard of by now. A director with few pulls hears of
-    // nobody in that time: past the contract time a trouble of the origin, once known, is the likelier.
+    // Silence blames a node only where it would have been heard of by now. A director with few requests hears
+    // of nobody in that time: past the contract time a trouble of the origin, once known, is the likelier.
     const bool past = origin_part < 1 && now - p.arrived > contract_time(p);
     const auto heard = [&](const std::vector<Seconds>& at, const std::vector<Average>& news, int n) {
       const bool due = news[n].times_a_second(now) * (now - off.sent) >= 1;
@@ -897,9 +904,9 @@
     return !is_cache_kind(off.source) && heard(heard_at, serve_rate, off.node) &&
            heard(filled_at, held_share, off.source);
   }
-  void late(const PullId& id, std::size_t place) {
+  void late(const RequestId& id, std::size_t place) {
     if (!held(id) || place >= held(id)->offs.size()) return;
-    Pull& p = *held(id);
+    Request& p = *held(id);
     HandOff& off = p.offs[place];
     if (!off.out || off.cancelled || !owed(p)) return;
     const bool first = !std::exchange(off.late, true);
@@ -928,7 +935,7 @@
     }
     touched.push_back(id);
   }
-  void watch(const Pull& p, std::size_t place, Seconds time) {
+  void watch(const Request& p, std::size_t place, Seconds time) {
     if (now + time < p.hard_stop)
       actions.wake(now + time, {"late:" + std::to_string(place) + ":" + p.id.value});
   }
@@ -953,7 +960,7 @@
     actions.wake(now + kSweepEvery, {"sweep"});
   }
 
-  std::vector<PullId> touched;
+  std::vector<RequestId> touched;
   Settings settings;
   Actions& actions;
   std::knuth_b chance;
@@ -986,7 +993,7 @@
   std::vector<Average> fill_rate, held_share, serve_rate, hit_drag_of;
   std::vector<std::vector<std::pair<Seconds, double>>> ledger;
 
-  std::map<PullId, Pull> pulls;
+  std::map<RequestId, Request> requests;
   std::unordered_map<std::uint64_t, Unit> units;
   std::map<std::uint64_t, Seconds> object_purges;
   std::map<std::int64_t, Seconds> group_purges;
@@ -1047,19 +1054,19 @@
   m.sort_out_kinds();
 }
 
-void Director::pull_arrived(Seconds now, const PullId& id, GradeIndex grade, TenantIndex, ObjectId object,
-                            PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool,
-                            bool is_write) {
+void Director::request_arrived(Seconds now, const RequestId& id, GradeIndex grade, TenantIndex,
+                               ObjectId object, PartNumber part, GroupId group, Seconds hard_stop,
+                               double size_kb, bool, bool is_write) {
   Mind& m = mind_->at(now);
   m.calm_origin();
-  Pull p;
+  Request p;
   p.id = id, p.grade = std::clamp(grade.value, 0, static_cast<int>(m.grades.size()) - 1);
   p.object = object.value, p.unit = mix(object.value) ^ mix(~static_cast<std::uint64_t>(part.value));
   p.group = group.value, p.arrived = now, p.hard_stop = hard_stop, p.size_kb = size_kb, p.write = is_write;
   if (m.flow > 0 && size_kb > 0) m.grades[p.grade].send.add(now, size_kb / m.flow, 1);
   if (!m.is_write(p)) {
     Unit& unit = m.units[p.unit];
-    p.known = unit.at > kLongAgo, p.hot = now - unit.at <= kHotSpan;  // one pull in the span is no crowd
+    p.known = unit.at > kLongAgo, p.hot = now - unit.at <= kHotSpan;  // one request in the span is no crowd
     unit.bytes = unit.bytes * std::exp((unit.at - now) / kHotSpan) + size_kb;
     unit.at = now, p.hot = p.hot && m.is_hot(p, unit.bytes);
   }
@@ -1067,12 +1074,12 @@
   // By object and time, so that neither a client's repeat nor another director draws anew.
   const double draw = unit_draw(mix(object.value) + static_cast<std::uint64_t>(now / kRemember));
   p.lot = std::min(1.0, draw / m.extra(p));
-  m.pulls.insert_or_assign(id, std::move(p));
+  m.requests.insert_or_assign(id, std::move(p));
   m.touched.push_back(id);
   m.go_through_rules();
 }
 
-void Director::pull_dropped(Seconds now, const PullId& id) {
+void Director::request_dropped(Seconds now, const RequestId& id) {
   Mind& m = mind_->at(now);
   if (!m.held(id)) return;
   m.held(id)->over = true;
@@ -1080,18 +1087,18 @@
   m.go_through_rules();
 }
 
-void Director::hand_off_begun(Seconds now, const PullId& id, HandOffNumber) {
-  if (Pull* p = mind_->at(now).held(id)) p->bound = p->may_have_run = true;
+void Director::hand_off_begun(Seconds now, const RequestId& id, HandOffNumber) {
+  if (Request* p = mind_->at(now).held(id)) p->bound = p->may_have_run = true;
 }
 
-void Director::hand_off_ended(Seconds now, const PullId& id, HandOffNumber number, const NodeId& node,
+void Director::hand_off_ended(Seconds now, const RequestId& id, HandOffNumber number, const NodeId& node,
                               Result result, Note note, Seconds waited, Seconds spent,
-                              const LoadReport& report, bool pull_over) {
+                              const LoadReport& report, bool request_over) {
   Mind& m = mind_->at(now);
   m.hear(node, report);
   if (!m.held(id)) return;
-  Pull& p = *m.held(id);
-  p.over = p.over || pull_over;
+  Request& p = *m.held(id);
+  p.over = p.over || request_over;
   const auto place = static_cast<std::size_t>(number.value);
   if (number.value >= 0 && place < p.offs.size() && p.offs[place].out) {
     HandOff& off = p.offs[place];
@@ -1111,7 +1118,7 @@
   mind_->at(now).hear(node, report);
 }
 
-// The moment of a purge is kept, not its age: bounds are taken from it when a pull is sent.
+// The moment of a purge is kept, not its age: bounds are taken from it when a request is sent.
 void Director::object_purged(Seconds now, ObjectId object, Seconds age) {
   mind_->at(now).purged(mind_->object_purges, object.value, age);
 }
@@ -1126,8 +1133,8 @@
   if (words == "list") m.actions.follow_list();
   if (words.starts_with("resume:")) {
     // Guards against a clock that rounds: a wake may come a hair before the time that was asked for, and no
-    // second one would follow; the pull would be held until its hard stop.
-    if (Pull* p = m.held({words.substr(7)})) p->resume_at = kLongAgo;
+    // second one would follow; the request would be held until its hard stop.
+    if (Request* p = m.held({words.substr(7)})) p->resume_at = kLongAgo;
     m.touched.push_back({words.substr(7)});
   }
   if (words.starts_with("late:")) {
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -17,7 +17,7 @@
   Value value{};
   auto operator<=>(const Id&) const = default;
 };
-using PullId = Id<struct PullTag, std::string>;
+using RequestId = Id<struct RequestTag, std::string>;
 using NodeId = Id<struct NodeTag, std::string>;
 using TimerToken = Id<struct TimerTag, std::string>;
 using ObjectId = Id<struct ObjectTag, std::uint64_t>;
@@ -76,10 +76,11 @@
 class Actions {
  public:
   virtual ~Actions() = default;
-  virtual void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) = 0;
-  virtual void cancel(const PullId& pull, HandOffNumber number) = 0;
-  virtual void bounce(const PullId& pull, Seconds come_back_in) = 0;
-  virtual void forfeit(const PullId& pull) = 0;
+  virtual void hand_off(const RequestId& request, const NodeId& node, const FillTerms& fill,
+                        Seconds time_out) = 0;
+  virtual void cancel(const RequestId& request, HandOffNumber number) = 0;
+  virtual void bounce(const RequestId& request, Seconds come_back_in) = 0;
+  virtual void forfeit(const RequestId& request) = 0;
   virtual void wake(Seconds at, const TimerToken& token) = 0;
   virtual void probe(const NodeId& node) = 0;
   virtual void follow_list() = 0;
@@ -100,14 +101,14 @@
                   Readiness readiness, double weight, Seconds launched);
   void list_ends(Seconds now);
 
-  void pull_arrived(Seconds now, const PullId& pull, GradeIndex grade, TenantIndex tenant, ObjectId object,
-                    PartNumber part, GroupId group, Seconds hard_stop, double size_kb, bool resent,
-                    bool is_write);
-  void pull_dropped(Seconds now, const PullId& pull);
-  void hand_off_begun(Seconds now, const PullId& pull, HandOffNumber number);
-  void hand_off_ended(Seconds now, const PullId& pull, HandOffNumber number, const NodeId& node,
+  void request_arrived(Seconds now, const RequestId& request, GradeIndex grade, TenantIndex tenant,
+                       ObjectId object, PartNumber part, GroupId group, Seconds hard_stop, double size_kb,
+                       bool resent, bool is_write);
+  void request_dropped(Seconds now, const RequestId& request);
+  void hand_off_begun(Seconds now, const RequestId& request, HandOffNumber number);
+  void hand_off_ended(Seconds now, const RequestId& request, HandOffNumber number, const NodeId& node,
                       Result result, Note note, Seconds waited, Seconds spent, const LoadReport& report,
-                      bool pull_over);
+                      bool request_over);
   void probe_ended(Seconds now, const NodeId& node, Result result, const LoadReport& report);
   void object_purged(Seconds now, ObjectId object, Seconds age);
   void group_purged(Seconds now, GroupId group, Seconds age);
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -91,7 +91,7 @@
 }
 
 const Command kCommands[] = {
-    {"serve", "serve pulls until SIGTERM",
+    {"serve", "serve requests until SIGTERM",
      "Answers GET /_health with 200 once it serves. SIGUSR1 prints the counters, SIGHUP reads the\n"
      "configuration and the operator's file again and takes what they allow, SIGTERM or SIGINT ends it: new "
      "work is taken for a moment\n"
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -27,11 +27,11 @@
   limits.event_bytes = 1 * kMb;    // a whole list of thousands of nodes
   limits.event_slice = 4 * kKb;    // some 40 purges: about 0.3 ms of work in a turn of the loop
   // The budget, for 192 MB and 1,024 descriptors with every client at its worst: 341 clients' buffers and
-  // bodies 38 MB, answers waiting for slow clients 48 MB, the answers of the pulls that are then still open
-  // 82 MB (240,000 bytes each), nodes' buffers 10 MB. The days played take 7 MB.
+  // bodies 38 MB, answers waiting for slow clients 48 MB, the answers of the requests that are then still
+  // open 82 MB (240,000 bytes each), nodes' buffers 10 MB. The days played take 7 MB.
   limits.waiting_answers = count(memory / 4, kMb, 1024.0 * kMb);
   // What could not be sent, or would be waited for, ten times longer than any grade allows is no figure of a
-  // pull: one of those would drown what is learnt from all others.
+  // request: one of those would drown what is learnt from all others.
   double longest = 0;
   for (const protocol::Json& grade : settings["RequestClasses"].items())
     longest = std::max(longest, grade["DeadlineS"].number(0));
@@ -67,7 +67,7 @@
   limits.log_silent = 2.2;                   // two comments missed; a stop must be noticed within 4 s
   limits.log_again = 0.2;                    // a change must be told within seconds
   limits.serve_on = 0.75;                    // new work may come until 0.6 s after SIGTERM
-  limits.leave = 8;                          // past the longest hard stop; each pull has ended by itself
+  limits.leave = 8;                          // past the longest hard stop; each request has ended by itself
 
   limits.flow_connections = limits.clients + limits.links + 32;
   limits.flow_names = count(memory / 2048, 1024, 65536);  // under 200 bytes each: a tenth of the memory
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -110,8 +110,8 @@
       if ((signal != SIGTERM && signal != SIGINT) || leaving) continue;
       leaving = true;
       log_.event(LogLevel::kInfo, "leaving",
-                 fmt::format("{}: leaving, {} pulls open", config_.name, module_.open_pulls()),
-                 {{"name", config_.name}, {"open", std::uint64_t{module_.open_pulls()}}});
+                 fmt::format("{}: leaving, {} requests open", config_.name, module_.open_requests()),
+                 {{"name", config_.name}, {"open", std::uint64_t{module_.open_requests()}}});
       scheduler_.spawn(leave());
     }
   }
--- a/src/protocol/lines.cpp
+++ b/src/protocol/lines.cpp
@@ -40,11 +40,11 @@
 
 }  // namespace
 
-std::string serve_line(const PullId& pull, const Wording& wording, Seconds wait, const NodeId& node,
+std::string serve_line(const RequestId& request, const Wording& wording, Seconds wait, const NodeId& node,
                        const FillTerms& fill) {
   std::string line;
   const auto add = [&](const auto&... parts) { ((line += parts), ...); };
-  add("serve ", pull.value, " lane=", wording.lane, ",name=", wording.name);
+  add("serve ", request.value, " lane=", wording.lane, ",name=", wording.name);
   if (!wording.piece.empty()) add(",piece=", wording.piece);
   add(",ttl=", std::to_string(milliseconds(wait)));
   if (fill.source != node) add(",next=", fill.source.value);
@@ -64,7 +64,7 @@
   return line;
 }
 
-std::string cancel_line(const PullId& pull) { return "cancel " + pull.value + "\r\n"; }
+std::string cancel_line(const RequestId& request) { return "cancel " + request.value + "\r\n"; }
 
 bool AnswerParser::feed(std::string_view input, std::size_t& used, AnswerHandler& handler) {
   used = 0;
--- a/src/protocol/lines.hpp
+++ b/src/protocol/lines.hpp
@@ -11,21 +11,21 @@
 
 namespace hareramp::protocol {
 
-// What a pull says of itself; it goes on as the client worded it.
+// What a request says of itself; it goes on as the client worded it.
 struct Wording {
   std::string lane, name, piece, cached, body;
   std::uint32_t grade_number = 0, depot_number = 0;  // for flow records alone; not worded
 };
 
-std::string serve_line(const PullId& pull, const Wording& wording, Seconds wait, const NodeId& node,
+std::string serve_line(const RequestId& request, const Wording& wording, Seconds wait, const NodeId& node,
                        const FillTerms& fill);
-std::string cancel_line(const PullId& pull);
+std::string cancel_line(const RequestId& request);
 
 class AnswerHandler {
  public:
   virtual ~AnswerHandler() = default;
   // Views last only for the call.
-  virtual void answer(std::string_view pull, Result result, Note note, Seconds waited, bool same_copy,
+  virtual void answer(std::string_view request, Result result, Note note, Seconds waited, bool same_copy,
                       std::string_view tag, const LoadReport& report, std::string_view body) = 0;
   virtual void unknown_field(std::string_view name) = 0;
 };
--- a/src/routing/front.cpp
+++ b/src/routing/front.cpp
@@ -221,14 +221,14 @@
 }
 
 void Client::start_line(std::string_view method, std::string_view target) {
-  request_ = Request();
-  request_.get = method == "GET";
-  request_.put = method == "PUT";
-  request_.target = target;
+  http_request_ = HttpRequest();
+  http_request_.get = method == "GET";
+  http_request_.put = method == "PUT";
+  http_request_.target = target;
 }
 
 void Client::header(std::string_view name, std::string_view value) {
-  Request& r = request_;
+  HttpRequest& r = http_request_;
   const Limits& limits = front_.limits_;
   if (same_name(name, "x-correlation-id")) {
     r.bad = r.bad || !r.id.empty();
@@ -251,23 +251,23 @@
   }
 }
 
-void Client::body(std::string_view piece) { request_.body += piece; }
+void Client::body(std::string_view piece) { http_request_.body += piece; }
 
 // --- one request ---
 
 void Client::serve() {
-  const std::string_view target = request_.target;
+  const std::string_view target = http_request_.target;
   if (target == "/_health") {
     ++front_.counters_.health_asked;
     shown_ = true;
-    return answer(request_.get ? 200 : 405, "", "ok\n");
+    return answer(http_request_.get ? 200 : 405, "", "ok\n");
   }
   if (!target.starts_with("/invoke/")) {
     ++front_.counters_.not_found;
     return answer(404, "", "");
   }
-  if (!request_.get && !request_.put) return answer(405, "Allow: GET, PUT\r\n", "");
-  if (!serve_pull()) {
+  if (!http_request_.get && !http_request_.put) return answer(405, "Allow: GET, PUT\r\n", "");
+  if (!serve_request()) {
     ++front_.counters_.clients_bad;
     keep_ = false;
     answer(400, "", "");
@@ -275,8 +275,8 @@
 }
 
 // /invoke/GRADE/OBJECT or /invoke/GRADE/OBJECT/block-PART
-bool Client::serve_pull() {
-  std::string_view target = request_.target;
+bool Client::serve_request() {
+  std::string_view target = http_request_.target;
   target.remove_prefix(std::string_view("/invoke/").size());
   const auto slash = target.find('/');
   if (slash == std::string_view::npos) return false;
@@ -296,12 +296,12 @@
   const auto& grades = front_.names_.grades;
   const auto known = std::find(grades.begin(), grades.end(), grade);
   if (known == grades.end() || !protocol::read_object(name, object)) return false;
-  if (!request_.has_id || !request_.has_stop || request_.bad) return false;
+  if (!http_request_.has_id || !http_request_.has_stop || http_request_.bad) return false;
   // What a node would answer with an error: a read that brings bytes, a write that does not write.
   const auto place = static_cast<std::size_t>(known - grades.begin());
   const auto& writes = front_.names_.writes;
-  if (request_.get && !request_.body.empty()) return false;
-  if (place < writes.size() && writes[place] != request_.put) return false;
+  if (http_request_.get && !http_request_.body.empty()) return false;
+  if (place < writes.size() && writes[place] != http_request_.put) return false;
   shown_ = true;
 
   // Guards against clients that ask and do not read: their answers must not fill the memory. Nothing has run.
@@ -314,30 +314,30 @@
   wording->lane = grade;
   wording->name = name;
   wording->piece = piece;
-  wording->cached = std::move(request_.cached);
-  wording->body = std::move(request_.body);
+  wording->cached = std::move(http_request_.cached);
+  wording->body = std::move(http_request_.body);
   if (tap_) {
     grade_ = front_.flows_->grade(wording->lane);
     wording->grade_number = grade_.value;
     wording->depot_number = depot_.value;
   }
   const Limits& limits = front_.limits_;
-  // A pull read after a pause may have waited for all of it, and its client's time began with the sending.
-  const Seconds hard_stop =
-      Scheduler::now() + std::max(0.0, request_.wait / 1000 - limits.stop_margin - front_.scheduler_.late());
-  pull_ = {std::move(request_.id)};
+  // A request read after a pause may have waited for all of it, and its client's time began with the sending.
+  const Seconds hard_stop = Scheduler::now() + std::max(0.0, http_request_.wait / 1000 - limits.stop_margin -
+                                                                 front_.scheduler_.late());
+  request_ = {std::move(http_request_.id)};
   owed_ = true;
-  front_.module_.pull_arrived(pull_, {static_cast<int>(place)}, object, part, {request_.family}, hard_stop,
-                              request_.size_kb, request_.resent, request_.put, std::move(wording),
-                              weak_from_this());
+  front_.module_.request_arrived(request_, {static_cast<int>(place)}, object, part, {http_request_.family},
+                                 hard_stop, http_request_.size_kb, http_request_.resent, http_request_.put,
+                                 std::move(wording), weak_from_this());
   return true;
 }
 
 // --- answers ---
 
-void Client::completed(const PullId& pull, Content content) {
-  mailbox_.post([this, pull, content = std::move(content)]() mutable {
-    if (!owed_ || pull != pull_) return;
+void Client::completed(const RequestId& request, Content content) {
+  mailbox_.post([this, request, content = std::move(content)]() mutable {
+    if (!owed_ || request != request_) return;
     std::string more;
     if (!content.tag.empty()) more = "ETag: \"" + content.tag + "\"\r\n";
     answer(content.same_copy ? 304 : 200, std::move(more), std::move(content.bytes),
@@ -345,9 +345,9 @@
   });
 }
 
-void Client::bounced(const PullId& pull, Seconds come_back_in) {
-  mailbox_.post([this, pull, come_back_in] {
-    if (!owed_ || pull != pull_) return;
+void Client::bounced(const RequestId& request, Seconds come_back_in) {
+  mailbox_.post([this, request, come_back_in] {
+    if (!owed_ || request != request_) return;
     std::string more;
     const auto pause = static_cast<long long>(std::ceil(come_back_in * 1000));
     if (pause > 0) more = "X-Pushback-Ms: " + std::to_string(pause) + "\r\n";
@@ -355,9 +355,9 @@
   });
 }
 
-void Client::forfeited(const PullId& pull) {
-  mailbox_.post([this, pull] {
-    if (owed_ && pull == pull_) answer(500, "", "", ipfix::Outcome::kForfeited);
+void Client::forfeited(const RequestId& request) {
+  mailbox_.post([this, request] {
+    if (owed_ && request == request_) answer(500, "", "", ipfix::Outcome::kForfeited);
   });
 }
 
@@ -379,7 +379,7 @@
     label.depot = depot_;
   tap_->read_for(label, std::exchange(request_bytes_, 0));
   tap_->writing_for(label);
-  if (outcome != ipfix::Outcome::kNone) tap_->pull_ended(label);
+  if (outcome != ipfix::Outcome::kNone) tap_->request_ended(label);
 }
 
 void Client::answer(int status, std::string more, std::string bytes, ipfix::Outcome outcome, Note note) {
@@ -435,7 +435,7 @@
   if (owed_) label(ipfix::Outcome::kLeft, Note::kNone);
   tap_ = nullptr;  // goes with the socket
   socket_.close();
-  if (std::exchange(owed_, false)) front_.module_.pull_left(pull_);
+  if (std::exchange(owed_, false)) front_.module_.request_left(request_);
   resumed_.notify();
   mailbox_.close();
   front_.ended(*this);
--- a/src/routing/front.hpp
+++ b/src/routing/front.hpp
@@ -1,4 +1,4 @@
-// The clients' side: takes connections, reads requests from them, and writes each pull's one answer.
+// The clients' side: takes connections, reads requests from them, and writes each request's one answer.
 #pragma once
 
 #include <list>
@@ -53,16 +53,16 @@
   std::size_t waiting_answers_ = 0;  // bytes
 };
 
-// One connection. Pulls on it are answered in order, one open at a time; what is pipelined behind waits in
+// One connection. Requests on it are answered in order, one open at a time; what is pipelined behind waits in
 // the buffer, and reading pauses when that is full.
 class Client : public Asker, private protocol::HttpHandler, public std::enable_shared_from_this<Client> {
  public:
   Client(Front& front, transport::Socket socket);
   void start();
 
-  void completed(const PullId& pull, Content content) override;
-  void bounced(const PullId& pull, Seconds come_back_in) override;
-  void forfeited(const PullId& pull) override;
+  void completed(const RequestId& request, Content content) override;
+  void bounced(const RequestId& request, Seconds come_back_in) override;
+  void forfeited(const RequestId& request) override;
 
   // Who goes first when there is no room: the lower, the sooner; kStays for none of these.
   enum class Standing { kLingering, kShownNothing, kIdle, kStays };
@@ -72,7 +72,7 @@
 
  private:
   // The request being read.
-  struct Request {
+  struct HttpRequest {
     bool get = false, put = false, resent = false, has_id = false, has_stop = false;
     bool bad = false;  // a figure that is none, or a field that must be there once and is there twice
     std::string target, id, cached, body;
@@ -86,7 +86,7 @@
 
   void advance();
   void serve();
-  bool serve_pull();
+  bool serve_request();
   void refuse(int status);
   void answer(int status, std::string more, std::string bytes, ipfix::Outcome outcome = ipfix::Outcome::kNone,
               Note note = Note::kNone);
@@ -104,8 +104,8 @@
   protocol::HttpParser parser_;
   transport::Mailbox mailbox_;
   transport::Signal resumed_;
-  Request request_;
-  PullId pull_;           // the one that is open
+  HttpRequest http_request_;
+  RequestId request_;     // the one that is open
   Seconds moved_at_ = 0;  // when the connection last did something
   bool busy_ = false;     // a request is being answered
   bool owed_ = false;     // by the module
--- a/src/routing/module.cpp
+++ b/src/routing/module.cpp
@@ -140,7 +140,8 @@
 Task<> ModuleActor::hear(ModuleActor& self) { co_await self.told_.serve(); }
 
 // Guards against a machine so short of cores that every turn is late: held anew each time, the module would
-// never get to a pull, nor the last resort to its answer. It hurts a second long pause right after a first.
+// never get to a request, nor the last resort to its answer. It hurts a second long pause right after a
+// first.
 void ModuleActor::woke_late(Seconds listen_until) {
   constexpr Seconds kHoldAgain =
       1;  // s: the shortest grace on drains; older news was heard in the hold before
@@ -172,102 +173,105 @@
   });
 }
 
-void ModuleActor::pull_arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part,
-                               GroupId group, Seconds hard_stop, double size_kb, bool resent, bool is_write,
-                               std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker) {
+void ModuleActor::request_arrived(const RequestId& request, GradeIndex grade, ObjectId object,
+                                  PartNumber part, GroupId group, Seconds hard_stop, double size_kb,
+                                  bool resent, bool is_write,
+                                  std::shared_ptr<const protocol::Wording> wording,
+                                  std::weak_ptr<Asker> asker) {
   ++counters_.taken;
   counters_.open = ++open_;
   mailbox_.post([=, this, wording = std::move(wording), asker = std::move(asker)]() mutable {
-    arrived(pull, grade, object, part, group, hard_stop, size_kb, resent, is_write, std::move(wording),
+    arrived(request, grade, object, part, group, hard_stop, size_kb, resent, is_write, std::move(wording),
             std::move(asker));
   });
 }
 
-void ModuleActor::arrived(const PullId& id, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
-                          Seconds hard_stop, double size_kb, bool resent, bool is_write,
+void ModuleActor::arrived(const RequestId& id, GradeIndex grade, ObjectId object, PartNumber part,
+                          GroupId group, Seconds hard_stop, double size_kb, bool resent, bool is_write,
                           std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker) {
-  if (pulls_.contains(id)) {  // an id that is not new can't be told from the first: no second answer to that
+  if (requests_.contains(
+          id)) {  // an id that is not new can't be told from the first: no second answer to that
     ++counters_.forfeited;
     counters_.open = --open_;
     if (const auto second = asker.lock()) second->forfeited(id);
     return;
   }
-  Pull pull;
-  pull.wording = std::move(wording);
-  pull.asker = std::move(asker);
-  pull.hard_stop = hard_stop;
-  // Guards against a pull that nothing would ever end; the module's own time-outs come first.
-  pull.last_resort = scheduler_.at(hard_stop + limits_.overdue, [this, id] { end_by_last_resort(id); });
-  pulls_.insert_or_assign(id, std::move(pull));
-  director_->pull_arrived(clock_.now(), id, grade, {0}, object, part, group, clock_.of_scheduler(hard_stop),
-                          size_kb, resent, is_write);
+  Request request;
+  request.wording = std::move(wording);
+  request.asker = std::move(asker);
+  request.hard_stop = hard_stop;
+  // Guards against a request that nothing would ever end; the module's own time-outs come first.
+  request.last_resort = scheduler_.at(hard_stop + limits_.overdue, [this, id] { end_by_last_resort(id); });
+  requests_.insert_or_assign(id, std::move(request));
+  director_->request_arrived(clock_.now(), id, grade, {0}, object, part, group,
+                             clock_.of_scheduler(hard_stop), size_kb, resent, is_write);
 }
 
-ModuleActor::Pull* ModuleActor::owed(const PullId& id) {
-  const auto found = pulls_.find(id);
-  return found != pulls_.end() && found->second.owed ? &found->second : nullptr;
+ModuleActor::Request* ModuleActor::owed(const RequestId& id) {
+  const auto found = requests_.find(id);
+  return found != requests_.end() && found->second.owed ? &found->second : nullptr;
 }
 
-void ModuleActor::answered(Pull& pull) {
-  pull.owed = false;
-  scheduler_.cancel(pull.last_resort);
+void ModuleActor::answered(Request& request) {
+  request.owed = false;
+  scheduler_.cancel(request.last_resort);
   counters_.open = --open_;
 }
 
-void ModuleActor::forget_if_quiet(const PullId& id) {
-  const auto found = pulls_.find(id);
-  if (found == pulls_.end() || found->second.owed) return;
+void ModuleActor::forget_if_quiet(const RequestId& id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.owed) return;
   const auto& outs = found->second.outs;
-  if (std::none_of(outs.begin(), outs.end(), [](const Out& out) { return out.out; })) pulls_.erase(found);
+  if (std::none_of(outs.begin(), outs.end(), [](const Out& out) { return out.out; })) requests_.erase(found);
 }
 
-void ModuleActor::pull_left(const PullId& id) {
+void ModuleActor::request_left(const RequestId& id) {
   mailbox_.post([this, id] {
-    Pull* pull = owed(id);
-    if (!pull) return;  // its answer was on the way
-    answered(*pull);
+    Request* request = owed(id);
+    if (!request) return;  // its answer was on the way
+    answered(*request);
     ++counters_.left;
-    director_->pull_dropped(clock_.now(), id);
+    director_->request_dropped(clock_.now(), id);
     forget_if_quiet(id);
   });
 }
 
-void ModuleActor::end_by_last_resort(const PullId& id) {
+void ModuleActor::end_by_last_resort(const RequestId& id) {
   mailbox_.post([this, id] {
-    Pull* pull = owed(id);
-    if (!pull) return;
+    Request* request = owed(id);
+    if (!request) return;
     ++counters_.overdue;
     forfeit(id);
-    director_->pull_dropped(clock_.now(), id);
+    director_->request_dropped(clock_.now(), id);
     forget_if_quiet(id);
   });
 }
 
-void ModuleActor::ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result,
+void ModuleActor::ended(const RequestId& request, HandOffNumber number, const NodeId& node, Result result,
                         Note note, Seconds waited, LoadReport report, Content content) {
   mailbox_.post([=, this, report = std::move(report), content = std::move(content)]() mutable {
-    hand_off_ended(pull, number, node, result, note, waited, report, std::move(content));
+    hand_off_ended(request, number, node, result, note, waited, report, std::move(content));
   });
 }
 
-void ModuleActor::hand_off_ended(const PullId& id, HandOffNumber number, const NodeId& node, Result result,
+void ModuleActor::hand_off_ended(const RequestId& id, HandOffNumber number, const NodeId& node, Result result,
                                  Note note, Seconds waited, const LoadReport& report, Content content) {
-  const auto found = pulls_.find(id);
+  const auto found = requests_.find(id);
   const auto place = static_cast<std::size_t>(number.value);
-  if (found == pulls_.end() || place >= found->second.outs.size()) return;
-  Pull& pull = found->second;
+  if (found == requests_.end() || place >= found->second.outs.size()) return;
+  Request& request = found->second;
   // Told that a copy holds which the client never named: nothing that could be passed on.
-  if (content.same_copy && pull.wording->cached.empty()) result = Result::kError;
+  if (content.same_copy && request.wording->cached.empty()) result = Result::kError;
   count(result);
-  pull.outs[place].out = false;
-  if (result == Result::kCompleted && pull.owed) {
-    answered(pull);
+  request.outs[place].out = false;
+  if (result == Result::kCompleted && request.owed) {
+    answered(request);
     ++counters_.completed;
     if (content.same_copy) ++counters_.not_modified;
-    if (const auto asker = pull.asker.lock()) asker->completed(id, std::move(content));
+    if (const auto asker = request.asker.lock()) asker->completed(id, std::move(content));
   }
-  const Seconds now = clock_.now(), spent = now - clock_.of_scheduler(pull.outs[place].sent);
-  director_->hand_off_ended(now, id, number, node, result, note, waited, spent, report, !pull.owed);
+  const Seconds now = clock_.now(), spent = now - clock_.of_scheduler(request.outs[place].sent);
+  director_->hand_off_ended(now, id, number, node, result, note, waited, spent, report, !request.owed);
   forget_if_quiet(id);
 }
 
@@ -303,44 +307,44 @@
   }
 }
 
-void ModuleActor::hand_off(const PullId& id, const NodeId& node, const FillTerms& fill, Seconds time_out) {
-  Pull* pull = owed(id);
-  if (!pull) return;
-  const HandOffNumber number{static_cast<int>(pull->outs.size())};
+void ModuleActor::hand_off(const RequestId& id, const NodeId& node, const FillTerms& fill, Seconds time_out) {
+  Request* request = owed(id);
+  if (!request) return;
+  const HandOffNumber number{static_cast<int>(request->outs.size())};
   const Seconds now = Scheduler::now();
-  pull->outs.push_back({node, now});
+  request->outs.push_back({node, now});
   ++counters_.hand_offs;
   const auto peer = peers_.find(node);
   // Its time may have gone by while the process stood still: nobody waits for it any more.
-  if (peer == peers_.end() || now >= pull->hard_stop)
+  if (peer == peers_.end() || now >= request->hard_stop)
     return ended(id, number, node, Result::kNotSent, Note::kNone, 0, {}, {});
-  const Seconds until = time_out > 0 ? std::min(now + time_out, pull->hard_stop) : pull->hard_stop;
-  peer->second->hand_off(id, number, pull->wording, fill, until);
+  const Seconds until = time_out > 0 ? std::min(now + time_out, request->hard_stop) : request->hard_stop;
+  peer->second->hand_off(id, number, request->wording, fill, until);
 }
 
-void ModuleActor::cancel(const PullId& id, HandOffNumber number) {
-  const auto found = pulls_.find(id);
+void ModuleActor::cancel(const RequestId& id, HandOffNumber number) {
+  const auto found = requests_.find(id);
   const auto place = static_cast<std::size_t>(number.value);
-  if (found == pulls_.end() || place >= found->second.outs.size()) return;
+  if (found == requests_.end() || place >= found->second.outs.size()) return;
   const auto peer = peers_.find(found->second.outs[place].node);
   if (peer != peers_.end()) peer->second->cancel(id, number);
 }
 
-void ModuleActor::bounce(const PullId& id, Seconds come_back_in) {
-  Pull* pull = owed(id);
-  if (!pull) return;
-  answered(*pull);
+void ModuleActor::bounce(const RequestId& id, Seconds come_back_in) {
+  Request* request = owed(id);
+  if (!request) return;
+  answered(*request);
   ++counters_.bounced;
-  if (const auto asker = pull->asker.lock()) asker->bounced(id, come_back_in);
+  if (const auto asker = request->asker.lock()) asker->bounced(id, come_back_in);
   mailbox_.post([this, id] { forget_if_quiet(id); });
 }
 
-void ModuleActor::forfeit(const PullId& id) {
-  Pull* pull = owed(id);
-  if (!pull) return;
-  answered(*pull);
+void ModuleActor::forfeit(const RequestId& id) {
+  Request* request = owed(id);
+  if (!request) return;
+  answered(*request);
   ++counters_.forfeited;
-  if (const auto asker = pull->asker.lock()) asker->forfeited(id);
+  if (const auto asker = request->asker.lock()) asker->forfeited(id);
   mailbox_.post([this, id] { forget_if_quiet(id); });
 }
 
--- a/src/routing/module.hpp
+++ b/src/routing/module.hpp
@@ -22,13 +22,13 @@
 
 namespace hareramp::routing {
 
-// Whoever asked for a pull. Gets one of these, once, and none if it has left before.
+// Whoever asked for a request. Gets one of these, once, and none if it has left before.
 class Asker {
  public:
   virtual ~Asker() = default;
-  virtual void completed(const PullId& pull, Content content) = 0;
-  virtual void bounced(const PullId& pull, Seconds come_back_in) = 0;
-  virtual void forfeited(const PullId& pull) = 0;
+  virtual void completed(const RequestId& request, Content content) = 0;
+  virtual void bounced(const RequestId& request, Seconds come_back_in) = 0;
+  virtual void forfeited(const RequestId& request) = 0;
 };
 
 // The names that stand for indexes in the settings.
@@ -44,23 +44,23 @@
   ~ModuleActor() override;
 
   void start();
-  std::size_t open_pulls() const { return open_; }
+  std::size_t open_requests() const { return open_; }
 
   // Guards against sending on what was true before the process stood still: drains and purges told meanwhile
-  // wait in the change log's socket beside the pulls. Until then only changes reach the module.
+  // wait in the change log's socket beside the requests. Until then only changes reach the module.
   void woke_late(Seconds listen_until);
 
   // From here on each call only posts.
   void known_change_arrived(protocol::Json change) override;
   void changes_arrived(std::vector<distribution::NumberedChange> changes, bool more_waits,
                        std::function<void(bool taken)> done) override;
-  void pull_arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
-                    Seconds hard_stop, double size_kb, bool resent, bool is_write,
-                    std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker);
-  void pull_left(const PullId& pull);
-  // A pull that a limit kept from the module: counted, and answered by whoever calls.
+  void request_arrived(const RequestId& request, GradeIndex grade, ObjectId object, PartNumber part,
+                       GroupId group, Seconds hard_stop, double size_kb, bool resent, bool is_write,
+                       std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker);
+  void request_left(const RequestId& request);
+  // A request that a limit kept from the module: counted, and answered by whoever calls.
   void turned_back() { ++counters_.taken, ++counters_.bounced, ++counters_.turned_back; }
-  void ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result, Note note,
+  void ended(const RequestId& request, HandOffNumber number, const NodeId& node, Result result, Note note,
              Seconds waited, LoadReport report, Content content) override;
 
  private:
@@ -69,7 +69,7 @@
     Seconds sent = 0;
     bool out = true;
   };
-  struct Pull {
+  struct Request {
     std::shared_ptr<const protocol::Wording> wording;
     std::weak_ptr<Asker> asker;
     Seconds hard_stop = 0;  // the scheduler's time
@@ -79,24 +79,25 @@
   };
   class Changes;
 
-  void arrived(const PullId& pull, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
+  void arrived(const RequestId& request, GradeIndex grade, ObjectId object, PartNumber part, GroupId group,
                Seconds hard_stop, double size_kb, bool resent, bool is_write,
                std::shared_ptr<const protocol::Wording> wording, std::weak_ptr<Asker> asker);
-  void hand_off_ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result, Note note,
-                      Seconds waited, const LoadReport& report, Content content);
-  void end_by_last_resort(const PullId& pull);
-  Pull* owed(const PullId& pull);
-  void answered(Pull& pull);
-  void forget_if_quiet(const PullId& pull);
+  void hand_off_ended(const RequestId& request, HandOffNumber number, const NodeId& node, Result result,
+                      Note note, Seconds waited, const LoadReport& report, Content content);
+  void end_by_last_resort(const RequestId& request);
+  Request* owed(const RequestId& request);
+  void answered(Request& request);
+  void forget_if_quiet(const RequestId& request);
   void count(Result result);
   static transport::Task<> live(ModuleActor& self);
   static transport::Task<> hear(ModuleActor& self);
 
   // Actions, called from within the director.
-  void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override;
-  void cancel(const PullId& pull, HandOffNumber number) override;
-  void bounce(const PullId& pull, Seconds come_back_in) override;
-  void forfeit(const PullId& pull) override;
+  void hand_off(const RequestId& request, const NodeId& node, const FillTerms& fill,
+                Seconds time_out) override;
+  void cancel(const RequestId& request, HandOffNumber number) override;
+  void bounce(const RequestId& request, Seconds come_back_in) override;
+  void forfeit(const RequestId& request) override;
   void wake(Seconds at, const TimerToken& token) override;
   void probe(const NodeId& node) override;
   void follow_list() override;
@@ -116,7 +117,7 @@
   std::size_t links_ = 0, open_ = 0;
   std::map<NodeId, std::shared_ptr<Peer>> peers_;
   std::map<NodeId, transport::Address> addresses_;
-  std::map<PullId, Pull> pulls_;
+  std::map<RequestId, Request> requests_;
   std::unique_ptr<Director> director_;
 };
 
--- a/src/routing/peer.cpp
+++ b/src/routing/peer.cpp
@@ -21,37 +21,37 @@
 
   void answer(std::string_view id, Result result, Note note, Seconds waited, bool same_copy,
               std::string_view tag, const LoadReport& report, std::string_view body) override {
-    const PullId pull{std::string(id)};
-    if (!open.contains(pull)) {
+    const RequestId request{std::string(id)};
+    if (!open.contains(request)) {
       ++peer.counters_.late_answers;  // called off or given up while the answer was on its way
       return;
     }
     peer.counters_.bytes_filled += body.size();
-    peer.book(*this, open.at(pull), result, note, parser.answer_bytes());
+    peer.book(*this, open.at(request), result, note, parser.answer_bytes());
     // Guards against a node that takes more connections than it serves and turns away whatever comes on those
     // too many, for as long as they stand: what comes next goes out on another. Also meets a node that is
     // full; there it costs a connection set up anew, by each of many directors, until one has been served.
     const bool turned_away = result == Result::kTurnedAway && note == Note::kNone;
     if (turned_away && !served && !std::exchange(retiring, true)) ++peer.counters_.links_turned_away;
     served = served || !turned_away;
-    if (result != Result::kCompleted) remember(pull);  // it may come again, and its answer may come twice
-    peer.end(self.lock(), pull, result, note, waited, report,
+    if (result != Result::kCompleted) remember(request);  // it may come again, and its answer may come twice
+    peer.end(self.lock(), request, result, note, waited, report,
              Content{same_copy, std::string(tag), std::string(body), note});
   }
 
   void unknown_field(std::string_view) override { ++peer.counters_.unknown_fields; }
-  void remember(const PullId& pull) {
-    heard_of.insert(pull);
-    heard_of_at.emplace_back(Scheduler::now(), pull);
+  void remember(const RequestId& request) {
+    heard_of.insert(request);
+    heard_of_at.emplace_back(Scheduler::now(), request);
   }
   void forget_until(Seconds old) {
     for (; !heard_of_at.empty() && heard_of_at.front().first < old; heard_of_at.pop_front())
       heard_of.erase(heard_of_at.front().second);
   }
   // The first byte of it has left.
-  bool begun(const PullId& pull) const {
-    if (!out.empty() && out.front().pull == pull) return out_sent > 0;
-    return std::none_of(out.begin(), out.end(), [&](const Piece& piece) { return piece.pull == pull; });
+  bool begun(const RequestId& request) const {
+    if (!out.empty() && out.front().request == request) return out_sent > 0;
+    return std::none_of(out.begin(), out.end(), [&](const Piece& piece) { return piece.request == request; });
   }
 
   Peer& peer;
@@ -65,9 +65,9 @@
   std::size_t out_sent = 0;  // bytes of the first piece that are written
   bool draining = false, retiring = false, doubted = false;
   bool served = false;  // the node has answered something on it but that it is full
-  std::map<PullId, Open> open;
-  std::set<PullId> heard_of;  // given up or answered, but not completed: an answer may still come
-  std::deque<std::pair<Seconds, PullId>> heard_of_at;
+  std::map<RequestId, Open> open;
+  std::set<RequestId> heard_of;  // given up or answered, but not completed: an answer may still come
+  std::deque<std::pair<Seconds, RequestId>> heard_of_at;
   Seconds heard_at = 0;
   Seconds idle_since = 0;
   bool idle_watched = false;
@@ -90,16 +90,16 @@
 
 Task<> Peer::live(std::shared_ptr<Peer> self) { co_await self->mailbox_.serve(); }
 
-void Peer::hand_off(const PullId& pull, HandOffNumber number,
+void Peer::hand_off(const RequestId& request, HandOffNumber number,
                     std::shared_ptr<const protocol::Wording> wording, const FillTerms& fill,
                     Seconds give_up_at) {
-  mailbox_.post([this, pull, number, wording = std::move(wording), fill, give_up_at] {
-    send(pull, number, *wording, fill, give_up_at);
+  mailbox_.post([this, request, number, wording = std::move(wording), fill, give_up_at] {
+    send(request, number, *wording, fill, give_up_at);
   });
 }
 
-void Peer::cancel(const PullId& pull, HandOffNumber number) {
-  mailbox_.post([this, pull, number] { give_up(pull, number, Result::kCancelled); });
+void Peer::cancel(const RequestId& request, HandOffNumber number) {
+  mailbox_.post([this, request, number] { give_up(request, number, Result::kCancelled); });
 }
 
 // What is out stays with the old address until it ends; only new work goes to the new one.
@@ -121,18 +121,18 @@
   });
 }
 
-// A connection that may carry this pull: one with nothing out, else a new one, else the one with least out.
-// Guards against an answer that can't be read, stops short or never comes, and against resets: whatever else
-// is out on such a connection is lost with it. Costs descriptors, and a connection set up now and then.
+// A connection that may carry this request: one with nothing out, else a new one, else the one with least
+// out. Guards against an answer that can't be read, stops short or never comes, and against resets: whatever
+// else is out on such a connection is lost with it. Costs descriptors, and a connection set up now and then.
 // The same id may not be there twice, also not while an answer to an earlier hand-off may still come: nothing
 // on the wire would tell the two apart.
-Peer::LinkPointer Peer::choose_link(const PullId& pull) {
+Peer::LinkPointer Peer::choose_link(const RequestId& request) {
   const Seconds old = Scheduler::now() - limits_.link_idle;
   LinkPointer least;
   for (const LinkPointer& link : links_) {
     if (link->retiring || link->doubted || link->open.size() >= limits_.streams_per_link) continue;
     link->forget_until(old);
-    if (link->open.contains(pull) || link->heard_of.contains(pull)) continue;
+    if (link->open.contains(request) || link->heard_of.contains(request)) continue;
     if (link->open.empty() && link->state == Link::State::kUp && link->socket.ended()) continue;
     if (!least || link->open.size() < least->open.size()) least = link;
   }
@@ -146,39 +146,40 @@
   return link;
 }
 
-void Peer::send(const PullId& pull, HandOffNumber number, const protocol::Wording& wording,
+void Peer::send(const RequestId& request, HandOffNumber number, const protocol::Wording& wording,
                 const FillTerms& fill, Seconds give_up_at) {
-  const LinkPointer link = choose_link(pull);
-  if (!link) return told_.ended(pull, number, node_, Result::kNotSent, Note::kNone, 0, {}, {});
+  const LinkPointer link = choose_link(request);
+  if (!link) return told_.ended(request, number, node_, Result::kNotSent, Note::kNone, 0, {}, {});
   const Seconds now = Scheduler::now();
   Open open;
   open.number = number;
   open.grade = {wording.grade_number}, open.depot = {wording.depot_number};
-  open.timer = watch(pull, number, std::min(give_up_at, now + limits_.begin_within), give_up_at);
-  link->open.emplace(pull, open);
-  link->out.push_back({protocol::serve_line(pull, wording, give_up_at - now, node_, fill), pull});
+  open.timer = watch(request, number, std::min(give_up_at, now + limits_.begin_within), give_up_at);
+  link->open.emplace(request, open);
+  link->out.push_back({protocol::serve_line(request, wording, give_up_at - now, node_, fill), request});
   if (limits_.hold_back > 0 && !wording.body.empty()) link->out.back().held = 2;
   pump(link);
 }
 
-Scheduler::TimerKey Peer::watch(const PullId& pull, HandOffNumber number, Seconds until, Seconds give_up_at) {
-  return scheduler_.at(until, [weak = weak_from_this(), pull, number, give_up_at] {
+Scheduler::TimerKey Peer::watch(const RequestId& request, HandOffNumber number, Seconds until,
+                                Seconds give_up_at) {
+  return scheduler_.at(until, [weak = weak_from_this(), request, number, give_up_at] {
     const auto peer = weak.lock();
     if (!peer) return;
     for (const LinkPointer& link : peer->links_) {
-      const auto found = link->open.find(pull);
+      const auto found = link->open.find(request);
       if (found == link->open.end() || found->second.number != number) continue;
-      if (!link->begun(pull) || Scheduler::now() >= give_up_at) break;
-      found->second.timer = peer->watch(pull, number, give_up_at, give_up_at);
+      if (!link->begun(request) || Scheduler::now() >= give_up_at) break;
+      found->second.timer = peer->watch(request, number, give_up_at, give_up_at);
       return;
     }
-    peer->give_up(pull, number, Result::kTimedOut);
+    peer->give_up(request, number, Result::kTimedOut);
   });
 }
 
-void Peer::give_up(const PullId& pull, HandOffNumber number, Result result) {
+void Peer::give_up(const RequestId& request, HandOffNumber number, Result result) {
   for (const LinkPointer& link : std::list<LinkPointer>(links_)) {
-    const auto found = link->open.find(pull);
+    const auto found = link->open.find(request);
     if (found == link->open.end() || found->second.number != number) continue;
     const Open open = found->second;
     if (!open.written) {
@@ -186,36 +187,36 @@
       // If a part of it is on the way, the node must not get the rest: the connection goes, and what else was
       // out on it may have run. If none is, it must not go out later either, once the node has long been
       // drained, or with the age bound of a time before a purge.
-      const bool begun = link->begun(pull);
-      end(link, pull, result == Result::kTimedOut ? Result::kUnreachable : Result::kNotSent, Note::kNone, 0,
-          {}, {});
+      const bool begun = link->begun(request);
+      end(link, request, result == Result::kTimedOut ? Result::kUnreachable : Result::kNotSent, Note::kNone,
+          0, {}, {});
       if (begun) return drop(link);
-      std::erase_if(link->out, [&](const Piece& piece) { return piece.pull == pull; });
+      std::erase_if(link->out, [&](const Piece& piece) { return piece.request == request; });
       return settle(link);
     }
     const Seconds now = Scheduler::now();
-    link->remember(pull);
-    link->out.push_back({protocol::cancel_line(pull), {}});
+    link->remember(request);
+    link->out.push_back({protocol::cancel_line(request), {}});
     // Guards against a node that vanished without a word: its connections look open for ever. Also meets a
     // path that went dead. Costs a connection set up anew where a node was only slow.
     if (link->heard_at < open.written_at && now - open.written_at > limits_.link_doubt) {
       link->doubted = true;
       ++counters_.links_doubted;
     }
-    end(link, pull, result, Note::kNone, 0, {}, {});
+    end(link, request, result, Note::kNone, 0, {}, {});
     if (link->state == Link::State::kUp) pump(link);
     return;
   }
 }
 
-void Peer::end(const LinkPointer& link, const PullId& pull, Result result, Note note, Seconds waited,
+void Peer::end(const LinkPointer& link, const RequestId& request, Result result, Note note, Seconds waited,
                LoadReport report, Content content) {
-  const auto found = link->open.find(pull);
+  const auto found = link->open.find(request);
   const HandOffNumber number = found->second.number;
   book(*link, found->second, result, note, 0);
   scheduler_.cancel(found->second.timer);
   link->open.erase(found);
-  told_.ended(pull, number, node_, result, note, waited, std::move(report), std::move(content));
+  told_.ended(request, number, node_, result, note, waited, std::move(report), std::move(content));
   settle(link);
 }
 
@@ -252,7 +253,7 @@
 void Peer::drop(const LinkPointer& link) {
   if (link->state == Link::State::kClosed) return;
   link->state = Link::State::kClosed;
-  for (auto& [pull, open] : link->open)
+  for (auto& [request, open] : link->open)
     book(*link, open, open.written ? Result::kBroken : Result::kNotSent, Note::kNone, 0);
   link->tap = nullptr;  // goes with the socket
   link->socket.close();
@@ -271,21 +272,21 @@
 // of one connection says little of the node.
 void Peer::end_all(const LinkPointer& link, Result written, Result unwritten, bool may_move_on) {
   while (!link->open.empty()) {
-    const PullId pull = link->open.begin()->first;
+    const RequestId request = link->open.begin()->first;
     Open open = link->open.begin()->second;
     const auto piece = std::find_if(link->out.begin(), link->out.end(),
-                                    [&](const Piece& waiting) { return waiting.pull == pull; });
+                                    [&](const Piece& waiting) { return waiting.request == request; });
     LinkPointer other;
     if (!open.written && !open.moved_on && may_move_on && !gone_ && piece != link->out.end())
-      other = choose_link(pull);
+      other = choose_link(request);
     if (!other) {
-      end(link, pull, open.written ? written : unwritten, Note::kNone, 0, {}, {});
+      end(link, request, open.written ? written : unwritten, Note::kNone, 0, {}, {});
       continue;
     }
     ++counters_.moved_on;
     open.moved_on = true;
-    link->open.erase(pull);
-    other->open.emplace(pull, open);
+    link->open.erase(request);
+    other->open.emplace(request, open);
     piece->whole_at = 0;
     other->out.push_back(std::move(*piece));
     pump(other);
@@ -307,7 +308,7 @@
   const ipfix::Label label{open.grade, open.depot, outcome, static_cast<std::uint8_t>(note)};
   link.tap->wrote_for(label, written);
   link.tap->read_for(label, octets_read);
-  link.tap->pull_ended(label);
+  link.tap->request_ended(label);
 }
 
 // Notes what has been written whole.
@@ -316,7 +317,7 @@
     std::size_t left = bytes, begun = link.out_sent;
     for (auto piece = link.out.begin(); left > 0 && piece != link.out.end(); ++piece) {
       const std::size_t some = std::min(left, piece->bytes.size() - begun);
-      const auto found = link.open.find(piece->pull);
+      const auto found = link.open.find(piece->request);
       if (found != link.open.end()) found->second.octets += some;
       left -= some, begun = 0;
     }
@@ -324,7 +325,7 @@
   link.out_sent += bytes;
   while (!link.out.empty() && link.out_sent >= link.out.front().bytes.size()) {
     link.out_sent -= link.out.front().bytes.size();
-    const auto found = link.open.find(link.out.front().pull);
+    const auto found = link.open.find(link.out.front().request);
     if (found != link.open.end()) {
       found->second.written = true;
       found->second.written_at = Scheduler::now();
--- a/src/routing/peer.hpp
+++ b/src/routing/peer.hpp
@@ -20,7 +20,7 @@
 
 namespace hareramp::routing {
 
-// What a node sent for a pull.
+// What a node sent for a request.
 struct Content {
   bool same_copy = false;  // the client's copy is the one; no bytes
   std::string tag, bytes;
@@ -31,8 +31,8 @@
  public:
   virtual ~HandOffs() = default;
   // The one end of a hand-off.
-  virtual void ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result, Note note,
-                     Seconds waited, LoadReport report, Content content) = 0;
+  virtual void ended(const RequestId& request, HandOffNumber number, const NodeId& node, Result result,
+                     Note note, Seconds waited, LoadReport report, Content content) = 0;
 };
 
 class Peer : public std::enable_shared_from_this<Peer> {
@@ -44,9 +44,9 @@
 
   void start();
   // Each of these only posts; the actor acts on them in order.
-  void hand_off(const PullId& pull, HandOffNumber number, std::shared_ptr<const protocol::Wording> wording,
-                const FillTerms& fill, Seconds give_up_at);
-  void cancel(const PullId& pull, HandOffNumber number);
+  void hand_off(const RequestId& request, HandOffNumber number,
+                std::shared_ptr<const protocol::Wording> wording, const FillTerms& fill, Seconds give_up_at);
+  void cancel(const RequestId& request, HandOffNumber number);
   void moved(transport::Address address);
   void gone();  // nothing new will come; connections close as their work ends
 
@@ -61,21 +61,21 @@
   };
   struct Piece {
     std::string bytes;
-    PullId pull;           // empty: a cancel, which nobody waits for
+    RequestId request;     // empty: a cancel, which nobody waits for
     std::size_t held = 0;  // bytes of its end that are held back for a moment
     Seconds whole_at = 0;  // when they may go, once all before them has gone
   };
   class Link;
   using LinkPointer = std::shared_ptr<Link>;
 
-  LinkPointer choose_link(const PullId& pull);
-  void send(const PullId& pull, HandOffNumber number, const protocol::Wording& wording, const FillTerms& fill,
-            Seconds give_up_at);
+  LinkPointer choose_link(const RequestId& request);
+  void send(const RequestId& request, HandOffNumber number, const protocol::Wording& wording,
+            const FillTerms& fill, Seconds give_up_at);
   // Looks after a hand-off: at until it must have begun, at give_up_at it must have ended.
-  transport::Scheduler::TimerKey watch(const PullId& pull, HandOffNumber number, Seconds until,
+  transport::Scheduler::TimerKey watch(const RequestId& request, HandOffNumber number, Seconds until,
                                        Seconds give_up_at);
-  void give_up(const PullId& pull, HandOffNumber number, Result result);
-  void end(const LinkPointer& link, const PullId& pull, Result result, Note note, Seconds waited,
+  void give_up(const RequestId& request, HandOffNumber number, Result result);
+  void end(const LinkPointer& link, const RequestId& request, Result result, Note note, Seconds waited,
            LoadReport report, Content content);
   void end_all(const LinkPointer& link, Result written, Result unwritten, bool may_move_on);
   void drop(const LinkPointer& link);
--- a/tests/benchlink/wire_test.cpp
+++ b/tests/benchlink/wire_test.cpp
@@ -26,7 +26,7 @@
 std::string event(const std::string& line) { return kStart + "mark|TimeS=11|frame=2\n" + line + "\ngo\n"; }
 }  // namespace
 
-TEST_CASE("wire: a pull, its answer, and unknown keys and events") {
+TEST_CASE("wire: a request, its answer, and unknown keys and events") {
   check_trace("wire_good",
               talk(event("demand|Who=0|RequestId=r1|Band=0|Asset=4|DeadlineS=15|New=1\nnovel|Who=0|A=1")) +
                   talk(event("wake|Who=7|Token=x\ndropped|Who=0|RequestId=unknown\nexit|Who=0")) +
--- a/tests/flow/encoder_test.cpp
+++ b/tests/flow/encoder_test.cpp
@@ -32,7 +32,7 @@
   r.start = 1796147672.125, r.end = 1796147680.5;
   r.delta.octets = {1, 0x123456789abcull}, r.delta.packets = {2, 3}, r.delta.wire = {4, 5};
   r.total.octets = {0xffffffffffffull, 6};
-  r.pulls = 9;
+  r.requests = 9;
   r.reason = EndReason::kNoRoom;
   return r;
 }
@@ -63,11 +63,12 @@
 
 std::string text(const flows_tool::FlowRow& r) {
   return fmt::format(
-      "{} {}:{} -> {}:{} {:.3f} {:.3f} reason {} part {} outcome {} note {} depot {} node {} grade {} pulls "
+      "{} {}:{} -> {}:{} {:.3f} {:.3f} reason {} part {} outcome {} note {} depot {} node {} grade {} "
+      "requests "
       "{} octets "
       "{}/{} packets {}/{} wire {}/{} total {}/{}\n",
       r.id, r.initiator, r.initiator_port, r.responder, r.responder_port, r.start, r.end, r.reason, r.part,
-      r.outcome, r.note, r.depot, r.node, r.grade, r.pulls, r.octets[0], r.octets[1], r.packets[0],
+      r.outcome, r.note, r.depot, r.node, r.grade, r.requests, r.octets[0], r.octets[1], r.packets[0],
       r.packets[1], r.wire[0], r.wire[1], r.total[0], r.total[1]);
 }
 
@@ -173,7 +174,7 @@
                                      {const_cast<char*>("sourceTransportPort"), 2, 0},
                                      {const_cast<char*>("destinationTransportPort"), 2, 0},
                                      {const_cast<char*>("flowEndReason"), 1, 0},
-                                     {const_cast<char*>("pullOutcome"), 1, 0},
+                                     {const_cast<char*>("requestOutcome"), 1, 0},
                                      {const_cast<char*>("paddingOctets"), 2, 0},
                                      {nullptr, 0, 0}};
 
@@ -188,7 +189,7 @@
 
   fbInfoModel_t* model = fbInfoModelAlloc();
   fbInfoElement_t own[] = {FB_IE_INIT("gradeReference", 32473, 3, 4, FB_IE_F_ENDIAN),
-                           FB_IE_INIT("pullOutcome", 32473, 5, 1, FB_IE_F_ENDIAN), FB_IE_NULL};
+                           FB_IE_INIT("requestOutcome", 32473, 5, 1, FB_IE_F_ENDIAN), FB_IE_NULL};
   fbInfoModelAddElementArray(model, own);
   GError* error = nullptr;
   fbTemplate_t* laid = fbTemplateAlloc(model);
--- a/tests/flow/export_test.cpp
+++ b/tests/flow/export_test.cpp
@@ -23,7 +23,7 @@
 namespace {
 
 struct Sums {
-  std::uint64_t out = 0, in = 0, packets_out = 0, packets_in = 0, pulls = 0, flows = 0, records = 0;
+  std::uint64_t out = 0, in = 0, packets_out = 0, packets_in = 0, requests = 0, flows = 0, records = 0;
 };
 
 // A director in front of two caches and the origin, with folders of its own.
@@ -126,7 +126,7 @@
     std::map<std::string, Sums> all;
     for (const auto& line : flows_tool::report(folder + "/archive", query))
       all[fmt::format("{}", fmt::join(line.keys, " "))] = {line.octets[0],  line.octets[1], line.packets[0],
-                                                           line.packets[1], line.pulls,     line.flows,
+                                                           line.packets[1], line.requests,  line.flows,
                                                            line.records};
     return all;
   }
@@ -149,7 +149,7 @@
                                                             : "rest ") +
                       grade_of[i]];
       const rig::Tally& tally = clients[i]->tally();
-      sum.out += tally.octets.sent, sum.in += tally.octets.received, sum.pulls += tally.asked;
+      sum.out += tally.octets.sent, sum.in += tally.octets.received, sum.requests += tally.asked;
       sum.packets_out += tally.segments.sent, sum.packets_in += tally.segments.received;
       sum.flows += tally.connections;
     }
@@ -175,7 +175,7 @@
     REQUIRE_MESSAGE(told.contains(key), key);
     CHECK_MESSAGE(told.at(key).out == sum.out, key);
     CHECK_MESSAGE(told.at(key).in == sum.in, key);
-    CHECK_MESSAGE(told.at(key).pulls == sum.pulls, key);
+    CHECK_MESSAGE(told.at(key).requests == sum.requests, key);
   }
   CHECK(told.size() == counted.size());
 }
@@ -340,7 +340,7 @@
   CHECK(scene.collecting->decoded().lost == 0);
 }
 
-TEST_CASE("a disk that is full costs the spool, not the export and not a pull") {
+TEST_CASE("a disk that is full costs the spool, not the export and not a request") {
   Scene scene;
   scene.collect();
   scene.operators(scene.collector(), scene.spool());
@@ -365,7 +365,7 @@
   CHECK(scene.director->has_printed("the disk does not take messages"));
 }
 
-TEST_CASE("a collector that never reads costs records, told truthfully, and never a pull") {
+TEST_CASE("a collector that never reads costs records, told truthfully, and never a request") {
   Scene scene;
   StandIn deaf(scene.scheduler, false);
   scene.collect();
--- a/tests/flow/table_test.cpp
+++ b/tests/flow/table_test.cpp
@@ -22,7 +22,7 @@
   std::map<std::uint64_t, Sum> flows;
   std::map<std::uint32_t, KernelCounts> counted;
   std::array<std::uint64_t, 2> octets{}, packets{};
-  std::uint64_t pulls = 0, forced_early = 0;
+  std::uint64_t requests = 0, forced_early = 0;
   bool adds_up = true;
   std::string trace;
   bool traces = false;
@@ -39,13 +39,13 @@
       adds_up = adds_up && sum.octets[way] == r.total.octets[way] &&
                 sum.packets[way] == r.total.packets[way] && sum.wire[way] == r.total.wire[way];
     }
-    pulls += r.pulls;
+    requests += r.requests;
     forced_early += r.reason == EndReason::kNoRoom;
     if (traces)
       trace += fmt::format(
-          "flow {} grade {} reason {} from {:.1f} to {:.1f}: {}/{} octets, {}/{} packets, {} pulls\n", r.id,
-          r.label.grade.value, static_cast<int>(r.reason), r.start, r.end, r.delta.octets[0],
-          r.delta.octets[1], r.delta.packets[0], r.delta.packets[1], r.pulls);
+          "flow {} grade {} reason {} from {:.1f} to {:.1f}: {}/{} octets, {}/{} packets, {} requests\n",
+          r.id, r.label.grade.value, static_cast<int>(r.reason), r.start, r.end, r.delta.octets[0],
+          r.delta.octets[1], r.delta.packets[0], r.delta.packets[1], r.requests);
   }
 };
 
@@ -68,7 +68,7 @@
     table.moved(0.25 * i, one, grade(1), ipfix::kReverse, 7000);
     table.expire(0.25 * i, 100);
   }
-  table.pull_ended(6, one, grade(1));
+  table.request_ended(6, one, grade(1));
   table.moved(6.1, one, grade(2), ipfix::kForward, 300);
   table.moved(6.1, one, grade(2), ipfix::kReverse, 100);
   ledger.counted[one.value].segments = {40, 140};
@@ -91,7 +91,7 @@
     Table table({40, 20, 0.5, 1.0}, 1000, ledger);
     std::vector<ConnectionNumber> open;
     std::array<std::uint64_t, 2> booked{}, counted{};
-    std::uint64_t pulls = 0;
+    std::uint64_t requests = 0;
     double now = 0;
     for (int step = 0; step < 20000; ++step) {
       now += 0.001 * (chance() % 20);
@@ -118,7 +118,7 @@
         ledger.counted[at.value].segments[1 - way] += 1;
         booked[way] += octets;
         table.moved(now, at, grade(chance() % 30), way, octets);
-        if (chance() % 4 == 0) table.pull_ended(now, at, grade(chance() % 30)), ++pulls;
+        if (chance() % 4 == 0) table.request_ended(now, at, grade(chance() % 30)), ++requests;
       } else {
         table.expire(now, 5);
       }
@@ -135,7 +135,7 @@
     CHECK(ledger.adds_up);
     CHECK(ledger.octets == booked);
     CHECK(ledger.packets == counted);
-    CHECK(ledger.pulls == pulls);
+    CHECK(ledger.requests == requests);
     CHECK(ledger.forced_early == table.evicted());
     CHECK(table.evicted() > 0);
     bool one_end = true;
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -91,9 +91,10 @@
     }
     director->list_ends(now);
   }
-  void pull(const std::string& id, std::uint64_t object, int grade = 0, double size_kb = 400, int part = 0) {
-    director->pull_arrived(now, {id}, {grade}, {0}, {object}, {part}, {static_cast<std::int64_t>(object % 8)},
-                           now + 5, size_kb, false, grade == 2);
+  void request(const std::string& id, std::uint64_t object, int grade = 0, double size_kb = 400,
+               int part = 0) {
+    director->request_arrived(now, {id}, {grade}, {0}, {object}, {part},
+                              {static_cast<std::int64_t>(object % 8)}, now + 5, size_kb, false, grade == 2);
   }
   // The hand-off's end; its time is given, the clock moves by it.
   void ends(const std::string& id, int number, Result result, Note note = Note::kNone, Seconds spent = 0.01,
@@ -116,10 +117,11 @@
   std::string taken() { return std::exchange(trace, ""); }
   void say(const std::string& words) { trace += "-- " + words + "\n"; }
 
-  void hand_off(const PullId& pull, const NodeId& node, const FillTerms& fill, Seconds time_out) override {
-    node_of[pull.value].push_back(node.value);
-    source_of[pull.value] = fill.source.value, held_only_of[pull.value] = fill.held_only;
-    std::string line = pull.value + ": hand off to " + node.value;
+  void hand_off(const RequestId& request, const NodeId& node, const FillTerms& fill,
+                Seconds time_out) override {
+    node_of[request.value].push_back(node.value);
+    source_of[request.value] = fill.source.value, held_only_of[request.value] = fill.held_only;
+    std::string line = request.value + ": hand off to " + node.value;
     line += fill.source == node ? ", no fill" : ", fill from " + fill.source.value;
     line += ", rank " + std::to_string(fill.rank);
     if (fill.oldest_copy > 0) line += ", at most " + text(fill.oldest_copy) + " s old";
@@ -129,13 +131,13 @@
     if (time_out > 0) line += ", time-out " + text(time_out) + " s";
     note(line);
   }
-  void cancel(const PullId& pull, HandOffNumber number) override {
-    note(pull.value + ": cancel hand-off " + std::to_string(number.value));
+  void cancel(const RequestId& request, HandOffNumber number) override {
+    note(request.value + ": cancel hand-off " + std::to_string(number.value));
   }
-  void bounce(const PullId& pull, Seconds come_back_in) override {
-    note(pull.value + ": bounce" + (come_back_in > 0 ? ", come back" : ""));
+  void bounce(const RequestId& request, Seconds come_back_in) override {
+    note(request.value + ": bounce" + (come_back_in > 0 ? ", come back" : ""));
   }
-  void forfeit(const PullId& pull) override { note(pull.value + ": forfeit"); }
+  void forfeit(const RequestId& request) override { note(request.value + ": forfeit"); }
   void wake(Seconds at, const TimerToken& token) override { timers.emplace(at, token); }
   void probe(const NodeId& node) override { note("probe " + node.value); }
   void follow_list() override { note("follow the list"); }
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -110,7 +110,7 @@
   }
 }
 
-TEST_CASE("the director keeps the rules in a rough world, and every pull is accounted for") {
+TEST_CASE("the director keeps the rules in a rough world, and every request is accounted for") {
   for (const std::uint64_t seed : {1u, 2u, 3u}) {
     const Day day = play(rough(), "design", seed);
     const Findings& f = day.findings;
@@ -142,7 +142,7 @@
   see("none", Mutant::kNone);
   see("answers twice", Mutant::kAnswersTwice);
   see("swallows answers", Mutant::kSwallows);
-  see("resends a binding pull", Mutant::kResendsBinding);
+  see("resends a binding request", Mutant::kResendsBinding);
   see("ignores drains", Mutant::kIgnoresDrain);
   see("ignores that nodes are cold", Mutant::kIgnoresCold);
   see("ignores purges", Mutant::kIgnoresPurge);
