--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -10,10 +10,10 @@
 const char* const kAll = "c1 c2 c3 P1 P2 P3 O";
 
 // Fills from each source as told: its rate in KB/s, and whether it held the object.
-void feed(Rig& rig, const std::map<std::string, std::pair<double, Note>>& sources, int pulls, int first) {
-  for (int i = 0; i < pulls; ++i) {
+void feed(Rig& rig, const std::map<std::string, std::pair<double, Note>>& sources, int requests, int first) {
+  for (int i = 0; i < requests; ++i) {
     const std::string id = named("feed", first + i);
-    rig.pull(id, static_cast<std::uint64_t>(first + i));
+    rig.request(id, static_cast<std::uint64_t>(first + i));
     const auto found = sources.find(rig.source_of[id]);
     if (found == sources.end()) {
       rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.4);
@@ -24,12 +24,12 @@
   rig.taken();
 }
 
-// Which sources the next pulls name, in one line.
-std::string sources_of_next(Rig& rig, int first, int pulls = 12) {
+// Which sources the next requests name, in one line.
+std::string sources_of_next(Rig& rig, int first, int requests = 12) {
   std::string line;
-  for (int i = 0; i < pulls; ++i) {
+  for (int i = 0; i < requests; ++i) {
     const std::string id = named("see", first + i);
-    rig.pull(id, static_cast<std::uint64_t>(first + i));
+    rig.request(id, static_cast<std::uint64_t>(first + i));
     line += " " + rig.source_of[id];
     rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.01);
   }
@@ -41,15 +41,15 @@
 TEST_CASE("home and parent") {
   Rig rig;
   rig.list(ListScope::kCached, kAll);
-  for (int object = 1; object <= 3; ++object) rig.pull(named("p", object), object);
+  for (int object = 1; object <= 3; ++object) rig.request(named("p", object), object);
   rig.say(
       "the same object again has the same home and parent; a second part has its own home, not its own "
       "parent");
   rig.after(9);
-  rig.pull("p1-again", 1);
-  rig.pull("p1-part1", 1, 0, 400, 1);
+  rig.request("p1-again", 1);
+  rig.request("p1-part1", 1, 0, 400, 1);
   rig.say("a grade with a fresh time: bounded, and renewed behind");
-  rig.pull("p4", 4, 1);
+  rig.request("p4", 4, 1);
   check_trace("home_and_parent", rig.taken());
 }
 
@@ -92,7 +92,7 @@
   rig.list(ListScope::kCached, kAll);
   for (int i = 0; i < 4; ++i) {
     const std::string id = named("hot", i);
-    rig.pull(id, 5);
+    rig.request(id, 5);
     if (i < 3) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.1);
   }
   rig.say("the sibling lacks it: the object's parent");
@@ -109,7 +109,7 @@
     feed(rig, {{"P1", {1000, Note::kFilled}}}, 10, 1000);
     for (int i = 0; i < 30; ++i) {
       const std::string id = named("hot", i);
-      rig.pull(id, 5);
+      rig.request(id, 5);
       if (rig.source_of[id][0] == 'P') {
         rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.05);
       } else if (i % 10 < held_in_ten) {
@@ -123,7 +123,7 @@
     int asked = 0;
     for (int i = 0; i < 6; ++i) {
       const std::string id = named("see", i);
-      rig.pull(id, 5);
+      rig.request(id, 5);
       asked += rig.source_of[id][0] == 'c';
       rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.05);
     }
@@ -141,17 +141,17 @@
   feed(rig, {{"P1", {1000, Note::kFilled}}, {"P2", {1000, Note::kFilled}}}, 10, 1000);
   for (int i = 0, lost = 0; lost < 3; ++i) {
     const std::string id = named("p", i);
-    rig.pull(id, i);
+    rig.request(id, i);
     const bool gone = rig.source_of[id] == "P1";
     rig.ends(id, 0, gone ? Result::kTurnedAway : Result::kCompleted, gone ? Note::kSourceLost : Note::kFilled,
              0.3);
     if (gone) rig.ends(id, 1, Result::kCompleted, Note::kFilled, 0.3), ++lost;
   }
-  rig.say("a while later its trial goes well, and it has its pulls again");
+  rig.say("a while later its trial goes well, and it has its requests again");
   rig.after(2);
   for (int i = 40; i < 46; ++i) {
     const std::string id = named("p", i);
-    rig.pull(id, i);
+    rig.request(id, i);
     rig.ends(id, 0, Result::kCompleted, Note::kFilled, 0.3);
   }
   check_trace("lost_parent", rig.taken());
@@ -160,21 +160,21 @@
 TEST_CASE("the origin only when no parent is kept") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 c2 P1 P2 O");
-  rig.pull("p1", 1);
+  rig.request("p1", 1);
   rig.say("both parents refuse: they are still kept, the origin is not asked");
   rig.ends("p1", 0, Result::kTurnedAway, Note::kSourceRefused);
   rig.ends("p1", 1, Result::kTurnedAway, Note::kSourceRefused);
   rig.ends("p1", 2, Result::kCompleted, Note::kHit);
   rig.say("both are gone from the list");
   rig.list(ListScope::kChanges, "P1 P2", Readiness::kGone);
-  rig.pull("p2", 2);
+  rig.request("p2", 2);
   check_trace("origin_last", rig.taken());
 }
 
 TEST_CASE("what the origin failed behind one parent is not asked of the next") {
   Rig rig;
   rig.list(ListScope::kCached, kAll);
-  rig.pull("p1", 1);
+  rig.request("p1", 1);
   rig.ends("p1", 0, Result::kTurnedAway, Note::kOriginFailed);
   check_trace("origin_failed", rig.taken());
 }
@@ -182,7 +182,7 @@
 TEST_CASE("a crowded cache: the second by the hash, then a bounce at once") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 c2 P1 P2 P3 O");
-  for (int i = 0; i < 40; ++i) rig.pull(named("p", i), i);
+  for (int i = 0; i < 40; ++i) rig.request(named("p", i), i);
   const std::string trace = rig.taken();
   std::map<std::string, int> kinds;
   for (const char* what : {"to c1", "to c2", "bounce"}) {
@@ -196,21 +196,21 @@
 TEST_CASE("rule 1: one final answer") {
   Rig rig;
   rig.say("nobody listed");
-  rig.pull("p1", 1);
+  rig.request("p1", 1);
   rig.list(ListScope::kCached, kAll);
   rig.say("a time-out at the hard stop");
-  rig.pull("p2", 2, 3);
+  rig.request("p2", 2, 3);
   rig.ends("p2", 0, Result::kTimedOut, Note::kNone, 5);
   rig.say("dropped: only a cancel may follow, and what is heard later changes nothing");
-  rig.pull("p3", 3);
-  rig.director->pull_dropped(rig.now, {"p3"});
+  rig.request("p3", 3);
+  rig.director->request_dropped(rig.now, {"p3"});
   rig.ends("p3", 0, Result::kCancelled, Note::kNone, 0.01, true);
   rig.director->woken(rig.now, {"late:0:p3"});
   rig.director->woken(rig.now, {"resume:p3"});
   rig.ends("p3", 0, Result::kCompleted);
   rig.say("all turn it away: a pause, and its wake comes a hair too early");
   rig.list(ListScope::kFull, "c1 P1");
-  rig.pull("p4", 4);
+  rig.request("p4", 4);
   rig.ends("p4", 0, Result::kTurnedAway);
   rig.now = rig.timers.begin()->first;
   for (const auto& [at, token] : std::multimap<Seconds, TimerToken>(rig.timers)) {
@@ -225,11 +225,11 @@
   Rig rig;
   rig.list(ListScope::kCached, "c1 P1 O");
   for (int i = 0; i < 3; ++i) {
-    rig.pull(named("p", i), i);
+    rig.request(named("p", i), i);
     rig.ends(named("p", i), 0, Result::kCompleted, Note::kHit, 4.9);
   }
   rig.taken();
-  rig.pull("next", 9, 0, 4000);
+  rig.request("next", 9, 0, 4000);
   check_trace("slow_spell", rig.taken());
 }
 
@@ -237,12 +237,12 @@
   Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
   rig.list(ListScope::kCached, "c1 c2 c4 P1 P2 O");
   rig.say("binding, turned away unseen: once more; broken: forfeit, nothing else");
-  rig.pull("b1", 1, 2);
+  rig.request("b1", 1, 2);
   rig.ends("b1", 0, Result::kTurnedAway);
   rig.run_until(rig.now + 0.2);
   rig.ends("b1", 1, Result::kBroken);
   rig.say("retriable, broken: the next cache");
-  rig.pull("s1", 2);
+  rig.request("s1", 2);
   rig.ends("s1", 0, Result::kBroken);
   check_trace("rule2_binding", rig.taken());
 
@@ -250,7 +250,7 @@
   group.list(ListScope::kCached, "c1 c2 c4 P1 O");
   for (const int object : {1, 2, 3, 4}) {
     const std::string id = named("f", object);
-    group.pull(id, object, 3);
+    group.request(id, object, 3);
     group.ends(id, 0, Result::kError);
     if (object == 4) group.say("past the window: no further hand-off"), group.after(3);
     if (group.node_of[id].size() > 1) group.ends(id, 1, Result::kError);
@@ -261,13 +261,13 @@
 TEST_CASE("rule 3: drains") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 c2 P1 P2 O");
-  for (int i = 1; i <= 4; ++i) rig.pull(named("p", i), i);
+  for (int i = 1; i <= 4; ++i) rig.request(named("p", i), i);
   rig.say("c1 and P1 drain");
   rig.list(ListScope::kChanges, "c1 P1", Readiness::kDraining);
-  for (int i = 1; i <= 4; ++i) rig.pull(named("q", i), i);
+  for (int i = 1; i <= 4; ++i) rig.request(named("q", i), i);
   rig.say("a full list without c2");
   rig.list(ListScope::kFull, "c1 P2 O");
-  rig.pull("r1", 1);
+  rig.request("r1", 1);
   check_trace("rule3_drains", rig.taken());
 }
 
@@ -276,7 +276,7 @@
     double work = 0;
     for (int i = 0; i < 60; ++i) {
       const std::string id = named("p", i);
-      rig.pull(id, i);
+      rig.request(id, i);
       for (std::size_t n = 0; n < rig.node_of[id].size(); ++n) {
         const bool look = rig.source_of[id] == rig.node_of[id][n];
         const bool meant = rig.node_of[id][n] == node || rig.source_of[id] == node;
@@ -305,15 +305,15 @@
 TEST_CASE("no fill is started for what is under way already, where none can be joined") {
   Rig rig(Settings{{"FamilyInfo.CanJoin", "false"}});
   rig.list(ListScope::kCached, kAll);
-  rig.pull("p1", 1);
+  rig.request("p1", 1);
   rig.say("nothing there: a fill");
   rig.ends("p1", 0, Result::kAbsent);
-  rig.pull("p2", 1);
+  rig.request("p2", 1);
   rig.say("one is under way: another look in a moment, and it is there");
   rig.ends("p2", 0, Result::kAbsent, Note::kJoined);
   rig.run_until(rig.now + 0.2);
   rig.ends("p2", 1, Result::kCompleted, Note::kHit, 0.1);
-  rig.pull("p3", 2);
+  rig.request("p3", 2);
   rig.say("too late for another look: it is not held until its hard stop");
   rig.after(4.85);
   rig.ends("p3", 0, Result::kAbsent, Note::kJoined);
@@ -325,10 +325,10 @@
   rig.list(ListScope::kCached, kAll);
   std::string line;
   const auto refused = [&](int first) {
-    line += "hand-offs of pulls whose fills are refused:";
+    line += "hand-offs of requests whose fills are refused:";
     for (int i = first; i < first + 8; ++i) {
       const std::string id = named("p", i);
-      rig.pull(id, static_cast<std::uint64_t>(i));
+      rig.request(id, static_cast<std::uint64_t>(i));
       for (std::size_t n = 0; n < rig.node_of[id].size(); ++n)
         rig.ends(id, static_cast<int>(n), Result::kTurnedAway, Note::kSourceRefused);
       line += " " + std::to_string(rig.node_of[id].size());
@@ -343,7 +343,7 @@
   check_trace("retry_budget", line);
 }
 
-TEST_CASE("as the origin fails, parents give what they hold to more and more of the pulls") {
+TEST_CASE("as the origin fails, parents give what they hold to more and more of the requests") {
   Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
   rig.list(ListScope::kCached, kAll);
   std::string line;
@@ -351,7 +351,7 @@
     int fetches = 0;
     for (int i = first; i < first + 40; ++i) {
       const std::string id = named("p", i);
-      rig.pull(id, static_cast<std::uint64_t>(i));
+      rig.request(id, static_cast<std::uint64_t>(i));
       fetches += rig.held_only_of[id] ? 0 : 1;
       rig.ends(id, 0, result, note, 0.05);
       if (rig.node_of[id].size() > 1) rig.ends(id, 1, Result::kAbsent, Note::kNone, 0.0);
@@ -364,7 +364,7 @@
   fetching("a calm while later, all goes well", 200, Result::kCompleted, Note::kFilledByOrigin);
   fetching("and on", 300, Result::kCompleted, Note::kFilledByOrigin);
   rig.say("a write that the origin turns away asks again after a pause");
-  rig.pull("w", 900, 2);
+  rig.request("w", 900, 2);
   rig.ends("w", 0, Result::kTurnedAway);
   rig.run_until(rig.now + 0.2);
   check_trace("origin_part", line + rig.trace.substr(rig.trace.find("-- a write")));
@@ -373,24 +373,24 @@
 TEST_CASE("a full link thins out fills alike for an object's repeats; a late fill keeps no hit out") {
   Rig rig;
   rig.list(ListScope::kCached, kAll);
-  rig.pull("p0", 1);
+  rig.request("p0", 1);
   for (int i = 0; i < 6; ++i) {
     rig.after(1);
     rig.director->hand_off_ended(rig.now, {"none"}, {0}, {"c1"}, Result::kCompleted, Note::kHit, 0, 0.1,
                                  {{"x1", 9.0}}, true);
   }
   for (int object = 1; object <= 8; ++object)
-    for (int again = 0; again < 2; ++again) rig.pull(named("o", object) + named("-", again), object);
+    for (int again = 0; again < 2; ++again) rig.request(named("o", object) + named("-", again), object);
   rig.say("c1 alone, its room taken by fills that wait on their source");
   Rig late(Settings{{"Permissions.SecondCopies", "false"}});
   late.list(ListScope::kCached, "c1 P1 P2 P3 O");
   int filled = 0;
-  for (int i = 0; i < 30; ++i) late.pull(named("f", i), static_cast<std::uint64_t>(i));
+  for (int i = 0; i < 30; ++i) late.request(named("f", i), static_cast<std::uint64_t>(i));
   for (const auto& [id, nodes] : late.node_of) filled += !nodes.empty();
   late.ends("f0", 0, Result::kCompleted, Note::kHit, 0.1);
   late.run_until(late.now + 2.5);
   late.taken();
-  late.pull("next", 77);
+  late.request("next", 77);
   check_trace("full_link", rig.taken() + std::to_string(filled) + " are out, and late: " + late.taken());
 }
 
@@ -399,14 +399,14 @@
   rig.list(ListScope::kCached, kAll);
   rig.director->object_purged(rig.now, {1}, 0.5);
   rig.director->group_purged(rig.now, {2}, 0);
-  rig.pull("object", 1);
-  rig.pull("group", 2);
-  rig.pull("other", 3);
+  rig.request("object", 1);
+  rig.request("group", 2);
+  rig.request("other", 3);
   rig.after(1);
-  rig.pull("fresh-time", 10, 1);
+  rig.request("fresh-time", 10, 1);
   rig.after(20);
   rig.run_until(rig.now);
-  rig.pull("done", 1);
+  rig.request("done", 1);
   check_trace("rule5_purges", rig.taken());
 }
 
@@ -416,16 +416,16 @@
   const double done = std::stod(Rig::usual_settings()["FamilyInfo.PurgeDoneS"]) + 1;
   rig.director->object_purged(rig.now, {1}, done + 0.1);
   rig.director->object_purged(rig.now, {2}, done - 0.1);
-  rig.pull("done", 1);
+  rig.request("done", 1);
   CHECK(rig.taken().find("s old") == std::string::npos);
-  rig.pull("not-done", 2);
+  rig.request("not-done", 2);
   CHECK(rig.taken().find("at most 6.900 s old") != std::string::npos);
 }
 
 TEST_CASE("a silent cache: a second copy elsewhere, and the loser is called off") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 c2 P1 O");
-  rig.pull("p1", 1);
+  rig.request("p1", 1);
   rig.run_until(rig.now + 2);
   rig.ends("p1", 1, Result::kCompleted, Note::kFilled, 0.4);
   check_trace("silent_cache", rig.taken());
@@ -434,7 +434,7 @@
 TEST_CASE("one broken hand-off may be chance, two in a row leave the cache out") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 c2 P1 O");
-  rig.pull("p1", 1);
+  rig.request("p1", 1);
   rig.ends("p1", 0, Result::kBroken);
   rig.ends("p1", 1, Result::kBroken);
   rig.ends("p1", 2, Result::kCompleted, Note::kFilled, 0.4);
@@ -444,10 +444,10 @@
 TEST_CASE("settings: no second copies, no parents, list by asking, nothing set") {
   Rig single(Settings{{"Permissions.SecondCopies", "false"}});
   single.list(ListScope::kCached, "c1 c2 P1 O");
-  single.pull("p1", 1);
+  single.request("p1", 1);
   single.say(
       "one late says little; the second that nothing is heard of leaves the cache out, and is called off");
-  single.pull("p2", 1);
+  single.request("p2", 1);
   single.run_until(single.now + 2);
   single.ends("p1", 0, Result::kCancelled);
   std::string trace = "no second copies\n" + single.taken();
@@ -456,12 +456,12 @@
   flat.list(ListScope::kFailed, "");
   flat.run_until(flat.now + 1.5);
   flat.list(ListScope::kFull, "c1 c2 O");
-  flat.pull("p1", 1);
+  flat.request("p1", 1);
   trace += "no parents, list by asking\n" + flat.taken();
   Rig bare;
   bare.director = std::make_unique<Director>(bare.now, Settings{}, 1, bare);
   bare.list(ListScope::kCached, "c1");
-  bare.pull("p1", 1);
+  bare.request("p1", 1);
   trace += "no settings at all\n" + bare.taken();
   check_trace("settings", trace);
 }
@@ -472,10 +472,10 @@
   for (int i = 0; i < 12; ++i) {
     const Seconds start = rig.now;
     const std::string late = "a" + std::to_string(i);
-    rig.pull(late, 1000 + i, 0, 2000);
+    rig.request(late, 1000 + i, 0, 2000);
     for (const char* quick : {"b", "c"}) {
       const std::string id = quick + std::to_string(i);
-      rig.pull(id, 2000 + 2 * i + (*quick == 'c'), 0, 2000);
+      rig.request(id, 2000 + 2 * i + (*quick == 'c'), 0, 2000);
       rig.ends(id, 0, Result::kCompleted, Note::kFilled, 1.2);
     }
     rig.run_until(start + 2.95);
@@ -483,7 +483,7 @@
                                  {}, true);
   }
   rig.taken();
-  for (int i = 0; i < 11; ++i) rig.pull("d" + std::to_string(i), 3000 + i, 0, 2000);
+  for (int i = 0; i < 11; ++i) rig.request("d" + std::to_string(i), 3000 + i, 0, 2000);
   const std::string trace = rig.taken();
   CHECK_MESSAGE(trace.find("no fill") == std::string::npos, trace);  // a parent without room
 }
@@ -491,7 +491,7 @@
 TEST_CASE("nodes that are gone are forgotten, with nothing of them out and their budget past") {
   Rig rig;
   rig.list(ListScope::kFull, "c0 P1 O");
-  rig.pull("out", 77);
+  rig.request("out", 77);
   for (int i = 0; i < 50; ++i) {
     rig.list(ListScope::kChanges, "c" + std::to_string(i), Readiness::kGone);
     rig.list(ListScope::kChanges, "c" + std::to_string(i + 1));
@@ -502,7 +502,7 @@
   rig.list(ListScope::kChanges, "c0");
   rig.list(ListScope::kChanges, "c50", Readiness::kGone);
   rig.taken();
-  for (int i = 0; i < 9; ++i) rig.pull("p" + std::to_string(i), 5000 + i);
+  for (int i = 0; i < 9; ++i) rig.request("p" + std::to_string(i), 5000 + i);
   check_trace("came_back", rig.taken());  // as one that has just started: no more than its budget
 }
 
@@ -512,15 +512,15 @@
   for (int i = 0; i < 12; ++i) {
     const Seconds start = rig.now;
     const std::string late = "a" + std::to_string(i), good = "b" + std::to_string(i);
-    rig.pull(late, 1000 + i, 0, 10);
+    rig.request(late, 1000 + i, 0, 10);
     rig.after(0.01);
-    rig.pull(good, 3000 + i, 0, 10);
+    rig.request(good, 3000 + i, 0, 10);
     rig.ends(good, 0, Result::kCompleted, Note::kFilled, 0.02);
     rig.run_until(start + 1.5);
     rig.ends(late, 0, Result::kCompleted, Note::kFilled, 0.01);
   }
   rig.taken();
-  for (int i = 0; i < 11; ++i) rig.pull("d" + std::to_string(i), 4000 + i, 0, 10);
+  for (int i = 0; i < 11; ++i) rig.request("d" + std::to_string(i), 4000 + i, 0, 10);
   const std::string trace = rig.taken();
   CHECK_MESSAGE(trace.find("no fill") == std::string::npos, trace);
 }
@@ -535,7 +535,7 @@
   int at_new = 0, from_sibling = 0;
   for (int object = 1; object <= 30; ++object) {
     const std::string id = named("o", object);
-    rig.pull(id, static_cast<std::uint64_t>(object), 0, 5);
+    rig.request(id, static_cast<std::uint64_t>(object), 0, 5);
     const bool sibling = rig.source_of[id][0] == 'c';
     at_new += rig.node_of[id][0] == "c3", from_sibling += sibling && rig.node_of[id][0] == "c3";
     CHECK(sibling == (rig.node_of[id][0] == "c3"));
@@ -546,7 +546,7 @@
   rig.taken();
   for (int object = 31; object < 300 && rig.trace.find("fill from c") == std::string::npos; ++object) {
     rig.taken();
-    rig.pull("lacks", static_cast<std::uint64_t>(object), 0, 5);
+    rig.request("lacks", static_cast<std::uint64_t>(object), 0, 5);
     if (rig.source_of["lacks"][0] != 'c')
       rig.ends("lacks", 0, Result::kCompleted, Note::kHit, 0.1), rig.node_of.erase("lacks");
   }
@@ -564,11 +564,11 @@
       rig.director->hand_off_ended(rig.now, {"none"}, {0}, {"c1"}, Result::kCompleted, Note::kHit, 0, 0.1,
                                    {{"x1", fullness}}, true);
     }
-    rig.pull("first", 1000);
+    rig.request("first", 1000);
     int fills = 0;
     for (int object = 1; object <= 100; ++object) {
       const std::string id = named("o", object);
-      rig.pull(id, static_cast<std::uint64_t>(object));
+      rig.request(id, static_cast<std::uint64_t>(object));
       fills += rig.source_of.contains(id) && rig.source_of[id][0] == 'P';
       if (!rig.node_of[id].empty()) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0);
     }
@@ -588,13 +588,13 @@
     Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
     rig.list(ListScope::kCached, kAll);
     for (int i = 0; i < 10; ++i) {
-      rig.pull(named("usual", i), static_cast<std::uint64_t>(i));
+      rig.request(named("usual", i), static_cast<std::uint64_t>(i));
       rig.ends(named("usual", i), 0, Result::kCompleted, Note::kFilledByOrigin, 0.2);
     }
     before(rig);
     int fetching = 0;
     for (int i = 100; i < 140; ++i) {
-      rig.pull(named("p", i), static_cast<std::uint64_t>(i));
+      rig.request(named("p", i), static_cast<std::uint64_t>(i));
       fetching += rig.held_only_of[named("p", i)] ? 0 : 1;
     }
     return fetching;
@@ -602,14 +602,14 @@
   CHECK(fetches([](Rig&) {}) == 40);
   const auto waited = [](Rig& rig, Seconds each) {  // a quarter of it for the source
     for (int i = 10; i < 13; ++i) {
-      rig.pull(named("slow", i), static_cast<std::uint64_t>(i));
+      rig.request(named("slow", i), static_cast<std::uint64_t>(i));
       rig.ends(named("slow", i), 0, Result::kCompleted, Note::kFilledByOrigin, each);
     }
   };
   CHECK(fetches([&](Rig& rig) { waited(rig, 0.4); }) == 40);
   CHECK(fetches([&](Rig& rig) { waited(rig, 2.4); }) < 36);
   const auto refused = [](Rig& rig, int times) {
-    rig.pull("w", 900, 2);
+    rig.request("w", 900, 2);
     for (int i = 0; i < times; ++i) {
       rig.ends("w", i, Result::kTurnedAway);
       rig.run_until(rig.now + 0.2);
@@ -624,22 +624,22 @@
     Rig rig;
     rig.list(ListScope::kCached, kAll);
     for (int i = 0; i < 10; ++i) {
-      rig.pull(named("usual", i), static_cast<std::uint64_t>(i));
+      rig.request(named("usual", i), static_cast<std::uint64_t>(i));
       rig.ends(named("usual", i), 0, Result::kCompleted, Note::kFilled, 0.5);
     }
     if (origin_fails) {
-      rig.pull("fails", 50);
+      rig.request("fails", 50);
       rig.ends("fails", 0, Result::kTurnedAway, Note::kOriginFailed, 0.01);
     }
     for (int i = 60; i < 100; ++i) {  // one that may be filled, and whose cache is heard of meanwhile
       const std::string id = named("p", i);
-      rig.pull(id, static_cast<std::uint64_t>(i));
+      rig.request(id, static_cast<std::uint64_t>(i));
       if (rig.node_of[id].empty() || rig.source_of[id][0] != 'P') continue;
       const std::string cache = rig.node_of[id][0];
       rig.after(0.01);
       for (int k = 200; k < 260; ++k) {
         const std::string other = named("k", k);
-        rig.pull(other, static_cast<std::uint64_t>(k));
+        rig.request(other, static_cast<std::uint64_t>(k));
         if (rig.node_of[other].empty()) continue;
         const bool same = rig.node_of[other][0] == cache;
         rig.ends(other, 0, Result::kCompleted, Note::kHit, 0);
@@ -661,11 +661,11 @@
     rig.list(ListScope::kCached, "c1 P1 O");
     for (int i = 0; i < rounds; ++i) {
       const std::string late = named("late", i), quick = named("quick", i);
-      rig.pull(late, static_cast<std::uint64_t>(i));
+      rig.request(late, static_cast<std::uint64_t>(i));
       const Seconds start = rig.now;
       if (rig.node_of[late].empty()) continue;
       rig.after(0.01);
-      rig.pull(quick, static_cast<std::uint64_t>(100 + i));
+      rig.request(quick, static_cast<std::uint64_t>(100 + i));
       if (heard) rig.ends(quick, 0, Result::kCompleted, Note::kFilled, 0.4);
       rig.run_until(start + (comes ? 0.85 : 4));
       rig.director->hand_off_ended(rig.now, {late}, {0}, {"c1"},
@@ -689,13 +689,13 @@
     Rig rig(Settings{{"FamilyInfo.Direct", "true"}});
     rig.list(ListScope::kCached, "c1 P1 O");
     for (int i = 0; i < 10; ++i) {
-      rig.pull(named("usual", i), static_cast<std::uint64_t>(i));
+      rig.request(named("usual", i), static_cast<std::uint64_t>(i));
       rig.ends(named("usual", i), 0, Result::kCompleted, Note::kFilled, 0.4);
     }
     late(rig);
     int fetching = 0;
     for (int i = 100; i < 140; ++i) {
-      rig.pull(named("p", i), static_cast<std::uint64_t>(i));
+      rig.request(named("p", i), static_cast<std::uint64_t>(i));
       fetching += !rig.node_of[named("p", i)].empty() && !rig.held_only_of[named("p", i)];
       rig.ends(named("p", i), 0, Result::kCompleted, Note::kHit, 0);
     }
@@ -703,9 +703,9 @@
   };
   const auto fill = [](bool heard, double size_kb = 50) {
     return [heard, size_kb](Rig& rig) {
-      rig.pull("late", 50, 0, size_kb);
+      rig.request("late", 50, 0, size_kb);
       rig.after(0.01);
-      rig.pull("other", 51);
+      rig.request("other", 51);
       if (heard) rig.ends("other", 0, Result::kCompleted, Note::kFilled, 0.4);
       rig.run_until(rig.now + 1.2);
     };
@@ -716,13 +716,13 @@
   CHECK(fetches(fill(true, 400)) == 40);  // long in sending
   CHECK(fetches([](Rig& rig) {            // one late write among many answers in good time is chance
           for (int i = 200; i < 240; ++i) {
-            rig.pull(named("good", i), static_cast<std::uint64_t>(i));
+            rig.request(named("good", i), static_cast<std::uint64_t>(i));
             rig.ends(named("good", i), 0, Result::kCompleted, Note::kFilledByOrigin, 0.1);
           }
-          rig.pull("w", 900, 2), rig.run_until(rig.now + 1.5);
+          rig.request("w", 900, 2), rig.run_until(rig.now + 1.5);
         }) > 36);
   CHECK(fetches([&](Rig& rig) {  // no longer than is usual at the origin
-          rig.pull("usual-wait", 30);
+          rig.request("usual-wait", 30);
           rig.director->hand_off_ended(rig.now, {"usual-wait"}, {0}, {"c1"}, Result::kCompleted,
                                        Note::kFilledByOrigin, 2.0, 0.4, {}, true);
           fill(true)(rig);
@@ -731,24 +731,25 @@
   const auto in_trouble = [&](bool late, Seconds without_news) {
     return [late, without_news](Rig& rig) {
       rig.after(without_news);
-      rig.pull("fails", 40);
+      rig.request("fails", 40);
       rig.ends("fails", 0, Result::kTurnedAway, Note::kOriginFailed, 0.01);
       rig.after(0.1);
       const Seconds end = rig.now + 1.2;
-      rig.pull("late", 50, 0, 50);
+      rig.request("late", 50, 0, 50);
       if (!late) rig.ends("late", 0, Result::kCompleted, Note::kHit, 0.05);
       rig.run_until(end);
     };
   };
   CHECK(fetches(in_trouble(true, 15)) < fetches(in_trouble(false, 15)));
-  CHECK(fetches([](Rig& rig) { rig.pull("w", 900, 2), rig.run_until(rig.now + 1.5); }) < 36);
+  CHECK(fetches([](Rig& rig) { rig.request("w", 900, 2), rig.run_until(rig.now + 1.5); }) < 36);
 }
 
-TEST_CASE("rule 2: a fingerprinted pull's repeat ends while repeats are dropped, and so may its client's") {
+TEST_CASE(
+    "rule 2: a fingerprinted request's repeat ends while repeats are dropped, and so may its client's") {
   const auto after_errors = [](Seconds first, Seconds second) {
     Rig rig(Settings{{"RequestClasses.3.Group", "all"}, {"Permissions.MaxAttempts", "2"}});
     rig.list(ListScope::kCached, "c1 P1 O");
-    rig.pull("f", 1, 3);
+    rig.request("f", 1, 3);
     rig.ends("f", 0, Result::kError, Note::kNone, first);
     if (rig.node_of["f"].size() > 1) rig.ends("f", 1, Result::kError, Note::kNone, second);
     return rig.taken();
@@ -769,7 +770,7 @@
     rig.list(ListScope::kCached, "c1 P1 P2 O");
     for (int i = 0; i < 40; ++i) {  // fewer than a fill's time apart: no room is in question
       const std::string id = named("before", i);
-      rig.pull(id, static_cast<std::uint64_t>(i));
+      rig.request(id, static_cast<std::uint64_t>(i));
       if (rig.node_of[id].empty()) continue;
       const bool hit = i % 2 == 0;
       rig.now += hit ? 0.5 : fill;
@@ -780,7 +781,7 @@
     int filling = 0;
     for (int i = 100; i < 140; ++i) {
       const std::string id = named("p", i);
-      rig.pull(id, static_cast<std::uint64_t>(i));
+      rig.request(id, static_cast<std::uint64_t>(i));
       filling += !rig.node_of[id].empty() && rig.source_of[id] != rig.node_of[id][0];
       if (!rig.node_of[id].empty()) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.0);
     }
@@ -796,7 +797,7 @@
   int slow = 0, filling = 0;
   for (int i = 0; i < 60; ++i) {
     const std::string id = named("before", i);
-    rig.pull(id, static_cast<std::uint64_t>(i));
+    rig.request(id, static_cast<std::uint64_t>(i));
     if (rig.node_of[id].empty()) continue;
     const bool hit = rig.node_of[id][0] == "c2" || ++slow <= 2;
     rig.ends(id, 0, Result::kCompleted, hit ? Note::kHit : Note::kFilled,
@@ -804,7 +805,7 @@
   }
   for (int i = 100; i < 140; ++i) {
     const std::string id = named("p", i);
-    rig.pull(id, static_cast<std::uint64_t>(i));
+    rig.request(id, static_cast<std::uint64_t>(i));
     filling += rig.source_of[id][0] == 'P';
     if (!rig.node_of[id].empty()) rig.ends(id, 0, Result::kCompleted, Note::kHit, 0.0);
   }
@@ -815,15 +816,15 @@
 TEST_CASE("a node that was left out is in again once the list tells of a later start") {
   Rig rig;
   rig.list(ListScope::kCached, "c1 P1 O");
-  rig.pull("dead", 1);
+  rig.request("dead", 1);
   rig.ends("dead", 0, Result::kUnreachable);
-  rig.pull("refused", 2);
+  rig.request("refused", 2);
   rig.say("an older start changes nothing");
   rig.list(ListScope::kChanges, "c1", Readiness::kRunning, 99);
-  rig.pull("still", 3);
+  rig.request("still", 3);
   rig.after(0.1);
   rig.say("a later one does");
   rig.list(ListScope::kChanges, "c1", Readiness::kRunning, rig.now);
-  rig.pull("taken", 4, 0, 50);
+  rig.request("taken", 4, 0, 50);
   check_trace("later_start", rig.taken());
 }
--- a/tests/program/program_test.cpp
+++ b/tests/program/program_test.cpp
@@ -116,8 +116,8 @@
       runs_until(scheduler, [&] { return process.printed().find("counters taken=1") != std::string::npos; }));
 
   process.send(SIGTERM);
-  REQUIRE(
-      runs_until(scheduler, [&] { return process.printed().find("leaving, 1 pulls") != std::string::npos; }));
+  REQUIRE(runs_until(scheduler,
+                     [&] { return process.printed().find("leaving, 1 requests") != std::string::npos; }));
   const auto two = dial(scheduler, listen);  // in the window after SIGTERM
   two->send(put("0000000000000002"));
   REQUIRE(runs_until(scheduler, [&] { return origin.heard_all("serve 0000000000000002", 1); }));
@@ -136,7 +136,7 @@
         std::string::npos);
 }
 
-TEST_CASE("SIGHUP: another change log is followed, a bad file changes nothing, pulls go on") {
+TEST_CASE("SIGHUP: another change log is followed, a bad file changes nothing, requests go on") {
   Scheduler scheduler;
   StandIn origin(scheduler), changes(scheduler), other(scheduler);
   const transport::Address listen = nobody(scheduler);
@@ -169,7 +169,8 @@
   CHECK(process.status() == 0);
 }
 
-TEST_CASE("with no descriptor left it goes on: idle clients make room, pulls that can't go out are bounced") {
+TEST_CASE(
+    "with no descriptor left it goes on: idle clients make room, requests that can't go out are bounced") {
   Scheduler scheduler;
   StandIn origin(scheduler), changes(scheduler);
   const transport::Address listen = nobody(scheduler);
--- a/tests/protocol/protocol_test.cpp
+++ b/tests/protocol/protocol_test.cpp
@@ -63,9 +63,9 @@
 struct AnswerTrace : AnswerHandler {
   std::string words;
   void unknown_field(std::string_view name) override { words += "unknown " + std::string(name) + ": "; }
-  void answer(std::string_view pull, Result result, Note note, Seconds waited, bool same,
+  void answer(std::string_view request, Result result, Note note, Seconds waited, bool same,
               std::string_view tag, const LoadReport& report, std::string_view body) override {
-    words += std::string(pull) + " result " + std::to_string(static_cast<int>(result)) + " note " +
+    words += std::string(request) + " result " + std::to_string(static_cast<int>(result)) + " note " +
              std::to_string(static_cast<int>(note)) + " waited " + Rig::text(waited);
     if (same) words += " same";
     words += " tag '" + std::string(tag) + "'";
@@ -185,16 +185,16 @@
 }
 
 TEST_CASE("commands to nodes") {
-  const PullId pull{"9b1f03aa5c7e2d41"};
+  const RequestId request{"9b1f03aa5c7e2d41"};
   Wording wording{"segment", "7f3a9c21e0b4d655", "3", "", ""};
-  std::string trace = serve_line(pull, wording, 1.4999, {"c1"}, {.source = {"c1"}});
+  std::string trace = serve_line(request, wording, 1.4999, {"c1"}, {.source = {"c1"}});
   trace += serve_line(
-      pull, wording, 1.5, {"c1"},
+      request, wording, 1.5, {"c1"},
       {.source = {"P1"}, .rank = 2, .oldest_copy = 0.0004, .join = true, .held_only = true, .renew = true});
-  trace +=
-      serve_line(pull, wording, -1, {"c1"}, {.source = {"P1"}, .oldest_copy = 8.0019, .pass_parent = true});
+  trace += serve_line(request, wording, -1, {"c1"},
+                      {.source = {"P1"}, .oldest_copy = 8.0019, .pass_parent = true});
   wording = {"handover", "1", "", "4be0c1927d55a6f3", "body\r\n"};
-  trace += serve_line(pull, wording, 3, {"O"}, {.source = {"O"}}) + cancel_line(pull);
+  trace += serve_line(request, wording, 3, {"O"}, {.source = {"O"}}) + cancel_line(request);
   std::erase(trace, '\r');
   check_trace("node_commands", trace);
 }
--- a/tests/routing/peer_test.cpp
+++ b/tests/routing/peer_test.cpp
@@ -23,14 +23,14 @@
     peer = std::make_shared<Peer>(scheduler, limits, counters, links, NodeId{"c1"}, address, *this);
     peer->start();
   }
-  void hand_off(const std::string& pull, int number = 0, Seconds wait = 15, std::size_t body = 0) {
+  void hand_off(const std::string& request, int number = 0, Seconds wait = 15, std::size_t body = 0) {
     auto wording = std::make_shared<protocol::Wording>();
-    wording->lane = "segment", wording->name = pull, wording->body = std::string(body, 'b');
-    peer->hand_off({pull}, {number}, wording, {.source = {"P1"}}, Scheduler::now() + wait);
+    wording->lane = "segment", wording->name = request, wording->body = std::string(body, 'b');
+    peer->hand_off({request}, {number}, wording, {.source = {"P1"}}, Scheduler::now() + wait);
   }
-  void ended(const PullId& pull, HandOffNumber number, const NodeId& node, Result result, Note, Seconds,
+  void ended(const RequestId& request, HandOffNumber number, const NodeId& node, Result result, Note, Seconds,
              LoadReport, Content content) override {
-    trace += pull.value + "/" + std::to_string(number.value) + " at " + node.value + ": " +
+    trace += request.value + "/" + std::to_string(number.value) + " at " + node.value + ": " +
              kResults[static_cast<int>(result)];
     if (!content.bytes.empty()) trace += " '" + content.bytes + "'";
     trace += "\n";
@@ -252,7 +252,7 @@
   pair.desk.peer->cancel({"p1"}, {0});
   pair.desk.peer->cancel({"p1"}, {7});
   pair.until_heard("cancel p1");
-  pair.desk.say("the same pull again: on another connection, or the answers could not be told apart");
+  pair.desk.say("the same request again: on another connection, or the answers could not be told apart");
   pair.desk.hand_off("p1", 1);
   REQUIRE(runs_until(pair.desk.scheduler, [&] { return pair.node.heard_all("serve p1", 1); }));
   pair.desk.hand_off("p2");
@@ -311,10 +311,10 @@
   REQUIRE(runs_until(pair.desk.scheduler, [&] { return pair.node.heard_all("serve p1", 1); }));
   pair.node.ends[1]->send("p1 NOENT why=absent 0\r\n\r\n");
   pair.desk.until(2);
-  for (const char* pull : {"p2", "p3"}) {
-    pair.desk.hand_off(pull);
-    pair.until_heard(std::string("serve ") + pull, 1);
-    pair.node.ends[1]->send(std::string(pull) + " AGAIN - 0\r\n\r\n");
+  for (const char* request : {"p2", "p3"}) {
+    pair.desk.hand_off(request);
+    pair.until_heard(std::string("serve ") + request, 1);
+    pair.node.ends[1]->send(std::string(request) + " AGAIN - 0\r\n\r\n");
   }
   pair.desk.until(4);
   CHECK(pair.node.ends.size() == 2);
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -98,7 +98,7 @@
 
 }  // namespace
 
-TEST_CASE("pulls: bytes, a copy that holds, a write, a bounce, a failure") {
+TEST_CASE("requests: bytes, a copy that holds, a write, a bounce, a failure") {
   Site site;
   std::string trace;
   const auto client = site.client();
@@ -123,7 +123,7 @@
   site.hears(site.origin, "serve 00000000000000aa");
   site.origin.ends[0]->reset();
   site.hears(*other, "500");
-  trace += "-- a binding pull that may have run: no promise\n" + Site::text(other->heard);
+  trace += "-- a binding request that may have run: no promise\n" + Site::text(other->heard);
   const auto third = site.client();
   third->send(Site::get("00000000000000bb", "/invoke/video/7f/block-3"));
   for (int number = 0; number < 6 && !third->heard_all("503"); ++number) {
@@ -148,7 +148,7 @@
   CHECK(site.counters.not_modified == 1);
   CHECK(site.counters.bounced == 1);
   CHECK(site.counters.forfeited == 1);
-  check_trace("pulls", trace);
+  check_trace("requests", trace);
 }
 
 TEST_CASE("requests in pieces, pipelined, and with an ordinary HTTP client's habits") {
@@ -178,7 +178,7 @@
   check_trace("request_pieces", Site::text(client->heard));
 }
 
-TEST_CASE("requests that are no pulls get a plain answer, and the module never hears of them") {
+TEST_CASE("requests that are no requests get a plain answer, and the module never hears of them") {
   Site site([](Limits& limits) { limits.linger = 0.01; });
   std::string trace;
   const std::string headers =
@@ -216,7 +216,7 @@
   }
   CHECK(site.counters.taken == 0);
   CHECK(site.cache.ends.empty());
-  check_trace("no_pulls", trace);
+  check_trace("no_requests", trace);
 }
 
 TEST_CASE("a client that leaves: its hand-off is called off and nothing is held") {
@@ -233,7 +233,7 @@
   site.check_sums();
 }
 
-TEST_CASE("a client that does not read is cut off; while much waits, further pulls are bounced") {
+TEST_CASE("a client that does not read is cut off; while much waits, further requests are bounced") {
   Site site([](Limits& limits) {
     limits.answer_taken = 0.2;
     limits.answer_body = 64 << 20;
@@ -349,7 +349,7 @@
   site.check_sums();
 }
 
-TEST_CASE("drains and purges reach the module before later pulls do") {
+TEST_CASE("drains and purges reach the module before later requests do") {
   Site site;
   StandIn spare(site.scheduler);
   site.tell("\"full\":false", {Site::entry("c2", spare.address, "z2", "cache"),
