Toy server tells the whole list as event 1, so that a relay can follow it

Found by trying the page for operators as a new user: the relay refused everybody, since the toy told purges only. Tried: toy, relay, a director that follows the relay with gzip (one purge told), and examples/world.sh as before.

--- a/examples/toy_server.cpp
+++ b/examples/toy_server.cpp
@@ -77,15 +77,14 @@
       const std::string object = asked.target.substr(kPurge.size());
       std::erase_if(held_, [&](const std::string& unit) { return unit.starts_with(object + "/"); });
       events_.push_back(fmt::format(R"({{"seq":{},"invalidate":{{"object":"{}","time":{:.0f}}}}})",
-                                    events_.size() + 2, object, transport::Clock::unix_now() * 1000));
+                                    events_.size() + 1, object, transport::Clock::unix_now() * 1000));
       co_await socket.write(protocol::http_answer(200, "", 7, false) + "purged\n", transport::kNever);
       co_return;
     }
     std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
-    // Event 1, the list, stands in the configuration.
-    for (std::size_t sent = asked.after > 0 ? asked.after - 1 : 0;;) {
+    for (std::size_t sent = asked.after;;) {
       for (; sent < events_.size(); ++sent)
-        text += fmt::format("id: {}\ndata: {}\n\n", sent + 2, events_[sent]);
+        text += fmt::format("id: {}\ndata: {}\n\n", sent + 1, events_[sent]);
       if (!(co_await socket.write(text, transport::kNever)).ok()) co_return;
       co_await scheduler_.sleep_until(Scheduler::now() + kComment);
       text = ": still here\n\n";
@@ -148,7 +147,11 @@
 
   Scheduler& scheduler_;
   std::set<std::string> held_;
-  std::vector<std::string> events_;
+  // Event 1 is the list, as in the configuration of examples/.
+  std::vector<std::string> events_ = {
+      R"({"seq":1,"fleet":{"version":1,"full":true,"servers":[)"
+      R"({"id":"cache-1","addr":"127.0.0.1:7101","zone":"edge","kind":"cache","cell":0,"state":"active","weight":8,"started_ms":0},)"
+      R"({"id":"origin","addr":"127.0.0.1:7102","zone":"hub","kind":"origin","cell":1,"state":"active","weight":1,"started_ms":0}]}})"};
 };
 
 }  // namespace
