--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -46,6 +46,7 @@
   double overdue = 0;        // past our own hard stop a request without an answer is ended here
   double log_silent = 0;     // the change log is taken for dead after so long a silence
   double log_again = 0;      // between tries to reach the change log
+  double changes_hold = 0;   // after a late turn requests wait for a backlog of changes, so long at most
   double serve_on = 0;       // after SIGTERM, new work is still taken for so long
   double leave = 0;          // after SIGTERM, all is over by then
 
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -66,8 +66,9 @@
   limits.overdue = 0.005;                    // the module's own end comes within a turn of the loop
   limits.log_silent = 2.2;                   // two comments missed; a stop must be noticed within 4 s
   limits.log_again = 0.2;                    // a change must be told within seconds
-  limits.serve_on = 0.75;                    // new work may come until 0.6 s after SIGTERM
-  limits.leave = 8;                          // past the longest hard stop; each request has ended by itself
+  limits.changes_hold = 0.5;  // drains may be at a backlog's end, but requests are owed answers
+  limits.serve_on = 0.75;     // new work may come until 0.6 s after SIGTERM
+  limits.leave = 8;           // past the longest hard stop; each request has ended by itself
 
   limits.flow_connections = limits.clients + limits.links + 32;
   limits.flow_names = count(memory / 2048, 1024, 65536);  // under 200 bytes each: a tenth of the memory
--- a/src/routing/module.cpp
+++ b/src/routing/module.cpp
@@ -10,9 +10,7 @@
 using transport::Task;
 
 namespace {
-// After the process stood still a long backlog of changes goes first, but no longer than that: drains are at
-// its end as likely as at its start, and whoever asks is owed an answer meanwhile.
-constexpr Seconds kLongestHold = 0.5;
+// Between looks whether a backlog of changes, which goes first after the process stood still, is over.
 constexpr Seconds kHoldLook = 0.005;
 }  // namespace
 
@@ -132,7 +130,7 @@
 Task<> ModuleActor::live(ModuleActor& self) {
   for (auto call = co_await self.mailbox_.next(); call; call = co_await self.mailbox_.next()) {
     while (Scheduler::now() < self.held_until_) co_await self.scheduler_.sleep_until(self.held_until_);
-    while (self.changes_wait_ && Scheduler::now() < self.held_until_ + kLongestHold)
+    while (self.changes_wait_ && Scheduler::now() < self.held_until_ + self.limits_.changes_hold)
       co_await self.scheduler_.sleep_until(Scheduler::now() + kHoldLook);
     self.scheduler_.run_guarded(call);
   }
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -363,6 +363,28 @@
   CHECK(site.cache.ends.empty());
 }
 
+TEST_CASE("after a late turn requests wait while the change stream has more, a bounded time at most") {
+  for (const bool backlog_ends : {true, false}) {
+    Site site([&](Limits& limits) { limits.changes_hold = backlog_ends ? 15 : 0.05; });
+    const auto slice_with_more = [&](bool more_waits) {
+      bool taken = false;
+      site.module->changes_arrived({}, more_waits, [&](bool) { taken = true; });
+      site.until([&] { return taken; });
+    };
+    slice_with_more(true);
+    site.module->woke_late(Scheduler::now());
+    const auto client = site.client();
+    client->send(Site::get(kId1));
+    site.until([&] { return site.counters.taken == 1; });
+    slice_with_more(true);  // a turn in which the request would go out
+    if (backlog_ends) {
+      CHECK(site.counters.attempts == 0);
+      slice_with_more(false);
+    }
+    site.hears(site.cache, "serve " + kId1);
+  }
+}
+
 // --- the change log ---
 
 namespace {
