--- a/review/2/purge_in_outage.cpp
+++ b/review/2/purge_in_outage.cpp
@@ -1,5 +1,6 @@
-// An object is purged while the change log is out of service. The caches drop their older copies in their own
-// time, within PurgeDoneS; until then an attempt without an age bound is answered from such a copy.
+// The change log breaks off in the middle of the event of a purge and is out of service. The caches drop
+// their older copies in their own time, within PurgeDoneS; until then an attempt without an age bound is
+// answered from such a copy.
 #include "world.hpp"
 
 using namespace stand_in;
@@ -162,15 +163,16 @@
     });
   }
   sleep_for(3);  // the caches hold every part now
-  const double broken_at = now();
-  if (play.trouble) {
-    log.down();
-    record.line("change log: out of service");
-    sleep_for(0.5);
-  }
+  if (play.trouble) log.breaks_off = true;
   world.purge();
   log.add("\"invalidate\":{\"object\":\"" + kObject + "\",\"time\":" + std::to_string(unix_ms()) + "}");
   record.line("origin: object purged; the event is in the change log");
+  if (play.trouble) {
+    for (const double until = now() + 1; log.breaks_off && now() < until;) sleep_for(0.002);
+    log.down();
+    record.line("change log: broke off in the middle of that event, out of service");
+  }
+  const double broken_at = now();
   world.told_at = play.trouble ? broken_at + kToldAfterBreak : now();
   if (play.trouble) {
     sleep_for(broken_at + kOutage - now());
--- a/review/stand_ins/world.hpp
+++ b/review/stand_ins/world.hpp
@@ -272,6 +272,7 @@
     events_.emplace_back(number, "{\"seq\":" + std::to_string(number) + "," + members + "}");
     return number;
   }
+  std::atomic<bool> breaks_off{false};  // the next event is written half, then its connection ends
   std::atomic<double> answer_delay{0};  // seconds from a GET to the head of its answer
   std::atomic<int> asked{0};            // number of GETs read
   // Called with the number of each event that has been written to a connection.
@@ -299,6 +300,10 @@
           if (event.first > after) due_events.push_back(event);
       }
       for (const auto& [number, data] : due_events) {
+        if (breaks_off.exchange(false)) {
+          stream.write("id: " + std::to_string(number) + "\ndata: " + data.substr(0, data.size() / 2));
+          return stream.shut();
+        }
         if (!stream.write("id: " + std::to_string(number) + "\ndata: " + data + "\n\n")) return;
         after = number;
         if (told) told(number);
