Copies from before a lost change stream are bounded in age once purges count as notified

Cause: State::max_copy_age bounds ages by the purges that have arrived, and nothing told the Director that the stream was lost. Subscription knew (last_received_at), reconnected five times a second, and kept it to itself; for the decisions an outage looked like a stream without purges. What was ruled out: losing the half event (the reconnection resumes after the last whole one and receives it again), a late reconnection (0.2 s), and the check at the first byte (it uses the same bound).

Change: the loss and the return of the stream reach the Director as facts (change_stream_lost, _followed), through the mailbox of the changes, after those that arrived before. policy/unseen_purges decides: 2 s after a break, or 4 s after a stop or a move to another source, every purge issued by then counts as notified, so copies must be from after that moment; until all nodes have dropped what a purge names (PurgeDoneS). It does not move while the stream stays lost, so a source that never returns, or breaks off each connection, costs each copy one more fill. A stream is followed again only when it has delivered something whole: a head alone, or half an event, proves nothing. A purge issued later counts 7 s after its issue, which bounds nothing where PurgeDoneS is at most 7 s.

--- a/experiments/capacity/recorder.hpp
+++ b/experiments/capacity/recorder.hpp
@@ -33,6 +33,10 @@
   }
   void changes_arrived(std::vector<distribution::NumberedChange> changes, bool more_waits,
                        std::function<void(bool taken)> done) override;
+  void stream_lost(StreamLoss loss, transport::Seconds lost_at, transport::Seconds last_received) override {
+    receiver_.stream_lost(loss, lost_at, last_received);
+  }
+  void stream_followed() override { receiver_.stream_followed(); }
   const PurgeRecord& record() const { return record_; }
 
  private:
--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -45,6 +45,7 @@
   COUNT(unknown_fields, "unknown fields in answers of nodes and in the change stream")           \
   COUNT(log_connected, "connections to the change stream")                                       \
   COUNT(log_silent, "of these, given up as silent")                                              \
+  COUNT(log_lost, "times that the change stream was lost after it had been followed")            \
   COUNT(events, "events of the change stream")                                                   \
   COUNT(events_skipped, "of these, not understood or out of order")                              \
   COUNT(late_turns, "iterations of the event loop that started very late")                       \
--- a/src/distribution/change_receiver.hpp
+++ b/src/distribution/change_receiver.hpp
@@ -6,7 +6,9 @@
 #include <functional>
 #include <vector>
 
+#include "policy.hpp"
 #include "protocol/json.hpp"
+#include "transport/scheduler.hpp"
 
 namespace hareramp::distribution {
 
@@ -25,6 +27,12 @@
   // more_available: the stream had more data to read at that moment.
   virtual void changes_arrived(std::vector<NumberedChange> changes, bool more_available,
                                std::function<void(bool accepted)> done) = 0;
+  // The stream was lost; see Director::change_stream_lost. Times are the scheduler's. Called after the
+  // changes that arrived before, and only posts to a mailbox. Receivers that decide nothing by it ignore it.
+  virtual void stream_lost(StreamLoss /*loss*/, transport::Seconds /*lost_at*/,
+                           transport::Seconds /*last_received*/) {}
+  // The stream is followed, for the first time or again, and what has been read of it has been passed on.
+  virtual void stream_followed() {}
 };
 
 }  // namespace hareramp::distribution
--- a/src/distribution/subscription.cpp
+++ b/src/distribution/subscription.cpp
@@ -54,6 +54,7 @@
         owner.report_failure(error.what());
       }
       if (self->stopped_) co_return;
+      if (self->stream_started_) owner.report_loss(StreamLoss::kBroken);
       failures = self->stream_started_ ? 0 : failures + 1;
       owner.endpoint_index_ = (owner.endpoint_index_ + 1) % owner.endpoints_.size();
       co_await owner.scheduler_.sleep_until(Scheduler::now() + owner.retry_delay(failures));
@@ -80,6 +81,7 @@
     const auto parse = [this](std::string_view decoded) {
       return event_parser_.parse(decoded, *this) && batch_.size() <= kMaxEventsPerBatch;
     };
+    has_body_ = true;
     broken_ = decoder_ ? !decoder_->decode(chunk, parse) : !parse(chunk);
     if (broken_) owner_.report_failure("the response body is not a valid change stream");
   }
@@ -99,6 +101,7 @@
   transport::Signal batch_done_;
   bool is_first_batch_ = false;  // the next batch is the first of this connection
   bool stream_started_ = false;  // this connection's response had status 200
+  bool has_body_ = false;        // this connection has delivered something after its response's head
   bool status_ok_ = false, broken_ = false, stopped_ = false;
 };
 
@@ -147,7 +150,7 @@
   event_parser_ = protocol::SseParser(limits.max_event);
   decoder_.reset();
   batch_.clear();
-  status_ok_ = broken_ = false;
+  status_ok_ = broken_ = has_body_ = false;
   is_first_batch_ = true;
   transport::Buffer in(limits.change_stream_read_size);
   for (;;) {
@@ -169,6 +172,7 @@
     const bool more_available = io.bytes >= limits.change_stream_read_size;
     if (!batch_.empty()) co_await deliver_batch(more_available);
     if (step != protocol::HttpParser::Step::kMore || broken_ || stopped_) co_return;
+    if (has_body_ && !more_available && event_parser_.between_events()) owner_.report_followed();
   }
 }
 
@@ -192,6 +196,7 @@
 void Subscription::start(const std::vector<protocol::Json>& known) {
   for (const protocol::Json& change : known)
     mailbox_.post([this, change] { receiver_.known_change_arrived(change); });
+  report_loss(StreamLoss::kNotConnected);
   scheduler_.spawn(run_mailbox(*this));
   reconnect();
 }
@@ -207,6 +212,7 @@
     if (unchanged != endpoints_.end()) return;
     log_.info("change_log_moved", "change stream: switched to {}, continuing after event {}",
               endpoints_[0].host, last_accepted_);
+    report_loss(StreamLoss::kMoved);
     reconnect();
   });
 }
@@ -244,6 +250,16 @@
   log_.warning("change_log_lost", "change stream: {}; retrying after event {}", reason, last_accepted_);
 }
 
+// A loss that is noticed in a late turn of the loop may have happened as much earlier.
+void Subscription::report_loss(StreamLoss loss) {
+  if (std::exchange(followed_, false)) ++counters_.log_lost;
+  receiver_.stream_lost(loss, Scheduler::now() - scheduler_.lateness(), last_received_at_);
+}
+
+void Subscription::report_followed() {
+  if (!std::exchange(followed_, true)) receiver_.stream_followed();
+}
+
 void Subscription::handle_batch(std::vector<Event> events, bool first_of_connection, bool more_available,
                                 const std::shared_ptr<Connection>& connection) {
   const Event& first = events.front();
--- a/src/distribution/subscription.hpp
+++ b/src/distribution/subscription.hpp
@@ -76,6 +76,8 @@
   void finish_batch(long long last_number, bool accepted, Connection& connection);
   static transport::Task<> run_mailbox(Subscription& self);
   void report_failure(const std::string& reason);
+  void report_loss(StreamLoss loss);
+  void report_followed();
 
   transport::Scheduler& scheduler_;
   const Limits& limits_;
@@ -91,6 +93,7 @@
   transport::Mailbox mailbox_;
   std::shared_ptr<Connection> connection_;
   transport::Seconds last_received_at_ = -transport::kNever;
+  bool followed_ = false;         // the receiver knows that the stream is followed
   bool batch_in_flight_ = false;  // the receiver has not yet answered for a batch; at most one
   std::string last_failure_;      // the last reason logged; cleared when a stream starts again
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -30,6 +30,7 @@
 
 #include "policy/cache_group.hpp"
 #include "policy/invalidations.hpp"
+#include "policy/unseen_purges.hpp"
 
 namespace hareramp {
 namespace {
@@ -343,7 +344,9 @@
     max_attempts = number_setting("Permissions.MaxAttempts", 1);
     max_retry_after = std::min(kMaxRetryAfter, number_setting("Permissions.MaxRetryAfterS", 0));
     clock_period = number_setting("PeriodS", 0.001);
-    invalidations = policy::Invalidations(number_setting("FamilyInfo.PurgeDoneS", 10) + 1);
+    const Seconds purge_lifetime = number_setting("FamilyInfo.PurgeDoneS", 10);
+    invalidations = policy::Invalidations(purge_lifetime + 1);
+    unseen_purges = policy::UnseenPurges(purge_lifetime);
     parent_warmup_time = number_setting("FamilyInfo.ParentWarmsInS", 20),
     cache_warmup_time = number_setting("Contract.ColdS", 20);
     parent_start_fraction = number_setting("FamilyInfo.ParentColdFrom", 0.05),
@@ -709,7 +712,8 @@
                         ? request_class.fresh_for + request_class.stale_for
                         : request_class.fresh_for;
     // Rule 5: purges of objects and of groups count until every node must have dropped its older copies.
-    const auto purged_at = invalidations.latest_purge({request.object}, {request.group});
+    const auto purged_at = std::max(invalidations.latest_purge({request.object}, {request.group}),
+                                    unseen_purges.latest_purge(now));
     if (!purged_at) return bound;
     const Seconds since = std::max(now - *purged_at, kMinCopyAge);
     return bound > 0 ? std::min(bound, since) : since;
@@ -920,6 +924,18 @@
     return choose_cache(request);
   }
 
+  // Logged once for each loss of the change stream that lasts long enough to matter.
+  void log_age_bound() {
+    if (age_bound_logged || !unseen_purges.latest_purge(now)) return;
+    age_bound_logged = true;
+    actions.log("change stream lost: copies from before are fetched again");
+  }
+  void follow_change_stream() {
+    unseen_purges.stream_followed();
+    if (std::exchange(age_bound_logged, false))
+      actions.log("change stream followed: copies are used again whatever their age");
+  }
+
   void send_attempt(Request& request, const Route& route) {
     Attempt new_attempt;
     new_attempt.node = route.node, new_attempt.source = route.source, new_attempt.sent_at = now,
@@ -1368,6 +1384,7 @@
   std::pair<Seconds, double> fill_slowdown;
   int fills_measured = 0;
   bool link_is_reported = false;
+  bool age_bound_logged = false;  // for the present loss of the change stream
 
   // One entry per node, by the index of the node. Rates are in KB per second.
   std::unordered_map<std::string, int> node_index;
@@ -1384,6 +1401,7 @@
   std::map<RequestId, Request> requests;
   std::unordered_map<std::uint64_t, PartUsage> part_usage;
   policy::Invalidations invalidations{0};  // replaced when the settings are read
+  policy::UnseenPurges unseen_purges{0};   // likewise
 };
 
 // Evaluated in this order, starting again at the top after each rule that applies. Each rule is a condition
@@ -1547,6 +1565,13 @@
   state_->advance_to(now).record_load_report(node, report);
 }
 
+void Director::change_stream_lost(Seconds now, StreamLoss loss, Seconds lost_at, Seconds last_received) {
+  State& state = state_->advance_to(now);
+  if (const auto notified_at = state.unseen_purges.stream_lost(loss, lost_at, last_received))
+    state.actions.set_timer(std::max(now, *notified_at), {"unseen-purges"});
+}
+void Director::change_stream_followed(Seconds now) { state_->advance_to(now).follow_change_stream(); }
+
 // The time of a purge is stored, not its age: age bounds are computed from it when a request is sent.
 void Director::object_purged(Seconds now, ObjectId object, Seconds age) {
   state_->advance_to(now).invalidations.object_purged(now, object, age);
@@ -1561,6 +1586,7 @@
   if (token_text == "sweep") state.sweep();
   if (token_text == "list") state.actions.watch_list();
   if (token_text == "deadlines-end") state.reconsider_all();
+  if (token_text == "unseen-purges") state.log_age_bound();
   if (token_text.starts_with("resume:")) {
     // Guards against a clock that rounds: a timer may fire slightly before the requested time, and no second
     // one would follow, so that the request would be held until its deadline.
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -64,6 +64,12 @@
 };
 // State of a listed node.
 enum class EndpointState { kRunning, kDraining, kRemoved };
+// How the change stream, which delivers list changes and purges, was lost.
+enum class StreamLoss {
+  kNotConnected,  // it has not been reached since the director's start
+  kBroken,        // its connection broke off, or stopped delivering anything
+  kMoved          // a new configuration names another source, which has not been reached yet
+};
 // What a list holds: only changes, all nodes, the nodes known from before, or nothing because it failed.
 enum class ListCompleteness { kChanges, kFull, kCached, kFailed };
 
@@ -127,6 +133,13 @@
                      Result result, AnswerDetail detail, Seconds source_wait, Seconds elapsed,
                      const LoadReport& report, bool request_over);
   void probe_ended(Seconds now, const NodeId& node, Result result, const LoadReport& report);
+  // The change stream was lost: purges and list changes may have been issued that do not arrive. May be
+  // called again while it is lost, for each further way in which it is. A caller that receives every change,
+  // such as a simulator, calls neither of these. lost_at: when the loss happened. last_received: when the
+  // stream last delivered anything; before every time: never.
+  void change_stream_lost(Seconds now, StreamLoss loss, Seconds lost_at, Seconds last_received);
+  // The change stream is followed again: all changes that were missed have been passed on.
+  void change_stream_followed(Seconds now);
   void object_purged(Seconds now, ObjectId object, Seconds age);
   void group_purged(Seconds now, GroupId group, Seconds age);
   void timer_fired(Seconds now, const TimerToken& token);
--- a/src/protocol/events.cpp
+++ b/src/protocol/events.cpp
@@ -45,12 +45,13 @@
   if (line_.empty()) {
     if (has_data_) handler.event(id_, data_);
     data_.clear();
-    has_data_ = false;
+    has_data_ = in_event_ = false;
     return;
   }
   const std::string_view line = line_;
   const auto colon = line.find(':');
   const std::string_view name = line.substr(0, colon);
+  if (colon != 0) in_event_ = true;  // a line that begins with a colon is a comment
   std::string_view value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
   if (value.starts_with(' ')) value.remove_prefix(1);
   if (name == "data") {
--- a/src/protocol/events.hpp
+++ b/src/protocol/events.hpp
@@ -24,12 +24,14 @@
   // Parses the next bytes of the stream, cut anywhere. False: an event exceeds the limit, and the rest of the
   // stream can't be read.
   bool parse(std::string_view input, SseHandler& handler);
+  // Whether the input so far ends between two events, not within one. A comment is no part of an event.
+  bool between_events() const { return !in_event_ && line_.empty(); }
 
  private:
   void end_line(SseHandler& handler);
   std::size_t max_event_bytes_;
   std::string line_, id_, data_;
-  bool after_cr_ = false, has_data_ = false;
+  bool after_cr_ = false, has_data_ = false, in_event_ = false;
 };
 
 // Receives the parts of one change of the change stream.
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -188,6 +188,17 @@
   });
 }
 
+void DirectorActor::stream_lost(StreamLoss loss, Seconds lost_at, Seconds last_received) {
+  change_mailbox_.post([this, loss, lost_at, last_received] {
+    director_->change_stream_lost(clock_.now(), loss, clock_.from_scheduler(lost_at),
+                                  clock_.from_scheduler(last_received));
+  });
+}
+
+void DirectorActor::stream_followed() {
+  change_mailbox_.post([this] { director_->change_stream_followed(clock_.now()); });
+}
+
 void DirectorActor::request_arrived(const RequestId& request, RequestClassIndex request_class,
                                     ObjectId object, PartNumber part, GroupId group, Seconds deadline,
                                     double size_kb, bool resent, bool is_write,
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -64,6 +64,8 @@
   void known_change_arrived(protocol::Json change) override;
   void changes_arrived(std::vector<distribution::NumberedChange> changes, bool more_waits,
                        std::function<void(bool taken)> done) override;
+  void stream_lost(StreamLoss loss, Seconds lost_at, Seconds last_received) override;
+  void stream_followed() override;
   void request_arrived(const RequestId& request, RequestClassIndex request_class, ObjectId object,
                        PartNumber part, GroupId group, Seconds deadline, double size_kb, bool resent,
                        bool is_write, std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
--- /dev/null
+++ b/tests/wall_clock/change_stream_test.cpp
@@ -0,0 +1,216 @@
+// A director on loopback whose change stream is lost. The monotonic clock stands still but for the steps that
+// the test makes, so that the moments at which the age of copies is bounded are exact.
+#include <array>
+
+#include "distribution/subscription.hpp"
+#include "wall_clock/loopback.hpp"
+
+using namespace hareramp;
+using transport::Scheduler;
+
+namespace {
+
+constexpr Seconds kStep = 0.1;       // below the lateness that the scheduler reports
+constexpr Seconds kMargin = 0.05;    // between a check and the moment that it is about
+constexpr Seconds kNodesDrop = 6;    // PurgeDoneS of the settings
+constexpr int kTurnsPerStep = 30;    // of the event loop; what is due then has happened
+constexpr int kMostTurns = 500'000;  // bounds a failing test
+const std::string kHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+const std::string kPurge = R"(id: 5
+data: {"seq":5,"invalidate":{"object":"99","time":1}}
+
+)";
+const std::string kHalfEvent = R"(id: 6
+data: {"seq":6,"invalidate":{"obj)";
+
+// What the source does with each new connection while it is out of service.
+enum class Outage { kBreaksOff, kBreaksOffInEvent, kSilent, kSilentAfterHead };
+
+class StreamFixture : public LoopbackFixture {
+ public:
+  StreamFixture()
+      : LoopbackFixture([](Limits& limits) {
+          limits.client_idle_timeout = limits.request_read_timeout = limits.node_idle_timeout = kHour;
+          limits.final_write_delay = 0;
+        }) {
+    subscription.emplace(scheduler, limits, counters, log,
+                         std::vector<distribution::Endpoint>{{source.address, "source"}}, 4, *actor);
+    client = dial(scheduler, listener->address());
+  }
+  ~StreamFixture() { scheduler.clear(); }
+
+  // Runs turns of the event loop until the condition holds. The clock stands still meanwhile.
+  bool turn_until(const std::function<bool()>& condition, int most_turns = kMostTurns) {
+    bool reached = false;
+    const auto poll = [](Scheduler& loop, const std::function<bool()>& stop_condition, int turns,
+                         bool& stopped) -> transport::Task<> {
+      while (!(stopped = stop_condition()) && turns-- > 0) co_await loop.sleep_until(Scheduler::now());
+      loop.stop();
+    };
+    scheduler.spawn(poll(scheduler, condition, most_turns, reached));
+    scheduler.run();
+    return reached;
+  }
+  void turn() {
+    turn_until([] { return false; }, kTurnsPerStep);
+  }
+  void advance_to(Seconds time) {
+    while (Scheduler::now() < time) {
+      StoppedClock::advance(std::min(kStep, time - Scheduler::now()));
+      turn();
+      handle_connections();
+    }
+  }
+  void start_subscription() {
+    subscription->start({});
+    REQUIRE(turn_until([&] { return source.has_received("\r\n\r\n"); }));
+    handled = 1;
+  }
+  // The stream delivers one event and is followed from then on.
+  void follow_stream() {
+    start_subscription();
+    source.connections[0]->send(kHead + kPurge);
+    REQUIRE(turn_until([&] { return counters.purges == 1 && subscription->last() == 5; }));
+    turn();
+  }
+  // Applies the outage to the connections made since the last call.
+  void handle_connections() {
+    for (; handled < source.connections.size(); ++handled) {
+      TestConnection& connection = *source.connections[handled];
+      if (outage == Outage::kSilentAfterHead) connection.try_send(kHead);
+      if (outage == Outage::kBreaksOffInEvent) connection.try_send(kHead + kHalfEvent), turn();
+      if (outage == Outage::kBreaksOff || outage == Outage::kBreaksOffInEvent) connection.close();
+    }
+  }
+  void break_stream(const std::string& last_bytes) {
+    source.connections[0]->send(last_bytes);
+    turn();
+    source.connections[0]->close();
+    turn();
+  }
+  void end_outage() {
+    const std::size_t before = source.connections.size();
+    handled = kMostTurns;  // the test answers from now on
+    while (source.connections.size() == before) advance_to(Scheduler::now() + kStep);
+    REQUIRE(turn_until([&] { return source.has_received("\r\n\r\n", before); }));
+    source.connections[before]->send(kHead + ": comment\n\n");
+    turn();
+  }
+  // The age bound, in ms, of an attempt for a new request; -1: none.
+  int age_bound() {
+    const int number = ++requests;
+    client->send(get(number));
+    REQUIRE(turn_until([&] { return !command_for(cache, number).empty(); }));
+    const std::string command = command_for(cache, number);
+    cache.connections[0]->send(id_of(number) + " ACK sum=4be0,t0=1,why=mem 2\r\nok\r\n");
+    REQUIRE(turn_until([&] { return counters.completed == static_cast<std::uint64_t>(number); }));
+    const auto at = command.find("agelim=");
+    return at == std::string::npos ? -1 : std::atoi(command.c_str() + at + 7);
+  }
+  // No bound until `begin`, then one on copies from before `begin` until every node has dropped them.
+  void check_bounded_from(Seconds begin) {
+    advance_to(begin - kMargin);
+    CHECK(age_bound() == -1);
+    for (const Seconds age : {kMargin, 1.0, kNodesDrop - kMargin}) {
+      advance_to(begin + age);
+      CHECK(std::abs(age_bound() - static_cast<int>(age * 1000)) <= 1);
+    }
+    for (const Seconds age : {kNodesDrop + kMargin, 60.0}) {
+      advance_to(begin + age);
+      CHECK(age_bound() == -1);
+    }
+  }
+
+  StandInServer source{scheduler};
+  std::optional<distribution::Subscription> subscription;
+  std::shared_ptr<TestConnection> client;
+  Outage outage = Outage::kBreaksOff;
+  std::size_t handled = 0;  // connections of the source that handle_connections has seen
+  int requests = 0;
+};
+
+}  // namespace
+
+// Guards against copies from before a purge that the stream broke off in (issue 56, review/2).
+TEST_CASE("a change stream that breaks off bounds the age of copies 2 s later, whatever follows the break") {
+  for (const Outage outage : {Outage::kBreaksOff, Outage::kBreaksOffInEvent, Outage::kSilent}) {
+    for (const std::string& last_bytes : {kHalfEvent, std::string(": comment\n\n")}) {
+      StreamFixture fixture;
+      const StoppedClock clock;
+      fixture.follow_stream();
+      fixture.outage = outage;
+      fixture.break_stream(last_bytes);
+      fixture.check_bounded_from(Scheduler::now() + 2);
+      CHECK(fixture.counters.log_lost == 1);
+    }
+  }
+}
+
+// Guards against a stream that stays open but delivers nothing, and against new connections that do the same.
+TEST_CASE("a change stream that falls silent bounds the age of copies 4 s after its last data") {
+  for (const Outage outage : {Outage::kBreaksOff, Outage::kSilent, Outage::kSilentAfterHead}) {
+    StreamFixture fixture;
+    const StoppedClock clock;
+    fixture.follow_stream();
+    fixture.outage = outage;
+    fixture.check_bounded_from(Scheduler::now() + 4);
+    CHECK(fixture.counters.log_silent >= 1);
+  }
+}
+
+TEST_CASE("a new source that is not reached bounds the age of copies 4 s after the new configuration") {
+  for (const bool in_outage : {false, true}) {
+    StreamFixture fixture;
+    const StoppedClock clock;
+    fixture.follow_stream();
+    if (in_outage) {
+      fixture.break_stream(kHalfEvent);
+      fixture.advance_to(Scheduler::now() + 10);
+      CHECK(fixture.age_bound() == -1);
+    }
+    fixture.subscription->set_endpoints({{unused_address(fixture.scheduler), "moved"}});
+    fixture.turn();
+    fixture.check_bounded_from(Scheduler::now() + 4);
+  }
+}
+
+TEST_CASE("a new configuration with the same source changes nothing about a lost change stream") {
+  StreamFixture fixture;
+  const StoppedClock clock;
+  fixture.follow_stream();
+  fixture.break_stream(kHalfEvent);
+  const Seconds broken_at = Scheduler::now();
+  fixture.advance_to(broken_at + 1);
+  fixture.subscription->set_endpoints({{fixture.source.address, "same"}});
+  fixture.check_bounded_from(broken_at + 2);
+}
+
+TEST_CASE("a change stream that is followed again ends the bound on the age of copies") {
+  for (const Outage outage : {Outage::kBreaksOff, Outage::kSilent}) {
+    for (const Seconds lasts : {1.0, 3.0}) {
+      StreamFixture fixture;
+      const StoppedClock clock;
+      fixture.follow_stream();
+      fixture.outage = outage;
+      fixture.break_stream(kHalfEvent);
+      const Seconds broken_at = Scheduler::now();
+      fixture.advance_to(broken_at + lasts);
+      CHECK((fixture.age_bound() >= 0) == (lasts > 2));
+      fixture.end_outage();
+      CHECK(fixture.age_bound() == -1);
+    }
+  }
+}
+
+TEST_CASE("a director that has not reached the change stream since its start bounds no copy's age") {
+  StreamFixture fixture;
+  const StoppedClock clock;
+  fixture.start_subscription();
+  fixture.source.connections[0]->close();
+  const Seconds started_at = Scheduler::now();
+  for (const Seconds after : {0.5, 2.5, 4.5, 7.5, 20.0}) {
+    fixture.advance_to(started_at + after);
+    CHECK(fixture.age_bound() == -1);
+  }
+  CHECK(fixture.counters.log_lost == 0);
+}
