--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -151,6 +151,12 @@
        {"answered_twice", "unanswered", "double_effects", "after_drain", "fallen", "stale", "out_of_balance"})
     broken += all[rule] > 0;
   all["broken_rules"] = broken + (findings.cold_worst > 1);
+  // The most requests that the origin got within one sample interval, per second.
+  double origin_peak = 0;
+  for (const Sample& sample : result.samples)
+    if (sample.at > plan.uncounted_start)
+      origin_peak = std::max(origin_peak, static_cast<double>(sample.origin) / plan.sample_interval);
+  all["origin_peak"] = origin_peak;
   // Recovery time: from the end of the last fault until utility is back at 90% of its mean before the first
   // fault.
   Seconds first = plan.duration, last = 0;
--- a/src/lab/world/director_policy.cpp
+++ b/src/lab/world/director_policy.cpp
@@ -43,6 +43,10 @@
   void group_purged(Seconds now, GroupId group, Seconds age) override {
     director_.group_purged(now, group, age);
   }
+  void change_stream_lost(Seconds now) override {
+    director_.change_stream_lost(now, StreamLoss::kBroken, now, now);
+  }
+  void change_stream_followed(Seconds now) override { director_.change_stream_followed(now); }
   void timer_fired(Seconds now, const TimerToken& token) override { director_.timer_fired(now, token); }
 
  private:
--- a/src/lab/world/director_policy.hpp
+++ b/src/lab/world/director_policy.hpp
@@ -26,6 +26,9 @@
                              bool request_over) = 0;
   virtual void object_purged(Seconds now, ObjectId object, Seconds age) = 0;
   virtual void group_purged(Seconds now, GroupId group, Seconds age) = 0;
+  // Baselines ignore a lost change stream.
+  virtual void change_stream_lost(Seconds /*now*/) {}
+  virtual void change_stream_followed(Seconds /*now*/) {}
   virtual void timer_fired(Seconds now, const TimerToken& token) = 0;
 };
 
--- a/src/lab/world/plan.hpp
+++ b/src/lab/world/plan.hpp
@@ -61,7 +61,7 @@
 
 struct FaultPlan {
   std::string kind;  // crash, silent, slow, refuse, drain, roll, list_lag, purge_object, purge_group, burst,
-                     // flush, restart_directors
+                     // flush, restart_directors, stream_lost
   Seconds at = 0, duration = 1;
   std::string nodes;  // cache, parent, origin
   int first = 0, count = 1;
--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -24,6 +24,9 @@
 
 constexpr Seconds kLookupTime = 0.0005;  // time a node takes to look up a copy
 constexpr Seconds kClockStart = 1000;    // clock at the start; to a director a time of 0 means "long ago"
+// When purges count as notified while the change stream is lost: those of the first seconds all at once, each
+// later one by its own age.
+constexpr Seconds kNotifiedAfterLoss = 2, kNotifiedAtLatest = 7;
 constexpr Seconds kPurgeCompletion = 6;  // time within which all nodes have dropped purged copies
 
 enum class EventKind : std::uint8_t {
@@ -38,6 +41,8 @@
   kRequestDeadline,      // the deadline of a request passes
   kListChangeDelivered,  // a change of the list reaches a director
   kPurgeDelivered,       // a purge reaches a director
+  kPurgeNotified,        // a purge counts as notified to a director although its change stream is lost
+  kStreamFollowed,       // a director follows the change stream again
   kFault,                // a fault begins or ends
   kNodeRestarts,         // a node restarts after a crash by overload
   kSample,               // index 0: a sample is taken; index 1: a request past its deadline is removed
@@ -878,6 +883,7 @@
   void apply_fault(const FaultPlan& fault, bool begins) {
     if (fault.kind == "burst") burst_ = begins ? fault.factor : 1;
     if (fault.kind == "list_lag") list_lag_ = begins ? fault.factor : 1;
+    if (fault.kind == "stream_lost") return begins ? lose_stream(fault) : follow_stream();
     if (fault.kind == "restart_directors" && begins)
       for (int i = 0; i < fault.count && fault.first + i < static_cast<int>(hosts_.size()); ++i)
         restart_director(*hosts_[static_cast<std::size_t>(fault.first + i)]);
@@ -943,6 +949,32 @@
                  EventKind::kPurgeDelivered, host->index_, purges_.size() - 1);
     }
   }
+  // All directors lose the change stream: what it would deliver reaches them when it is followed again.
+  void lose_stream(const FaultPlan& fault) {
+    stream_lost_at_ = now_;
+    stream_lost_until_ = now_ + fault.duration;
+    if (defect_ == InjectedDefect::kIgnoresStreamLoss) return;
+    for (const auto& host : hosts_) host->policy->change_stream_lost(now_);
+  }
+  // The changes that were missed are delivered first: they are due at this moment too, and were scheduled
+  // before.
+  void follow_stream() {
+    stream_lost_until_ = 0;
+    for (std::uint32_t index = 0; index < hosts_.size(); ++index)
+      schedule(now_, EventKind::kStreamFollowed, index, 0);
+  }
+  // Whether the change stream is lost now; the event is then scheduled again for its return.
+  bool postpone_delivery(const Event& event) {
+    if (now_ >= stream_lost_until_) return false;
+    schedule(stream_lost_until_, event.kind, event.index, event.id);
+    return true;
+  }
+  void postpone_purge(const Event& event) {
+    const Seconds issued_at = purges_[event.id].at, first_notified_at = stream_lost_at_ + kNotifiedAfterLoss;
+    const Seconds notified_at =
+        issued_at <= first_notified_at ? first_notified_at : issued_at + kNotifiedAtLatest;
+    schedule(std::max(notified_at, now_), EventKind::kPurgeNotified, event.index, event.id);
+  }
   struct Purge {
     bool group = false;
     std::uint64_t rank = 0;
@@ -973,15 +1005,25 @@
     return seeded_hash(purge.rank,
                        1 + static_cast<std::uint64_t>(purge.at / plan_.load.object_lifetime + phase));
   }
+  // The rule counts a purge from its first notification on.
+  void record_notification(DirectorHost& host, const Purge& purge) {
+    const auto record = [&](auto& purges, const auto& key) {
+      const auto [found, added] = purges.emplace(key, std::pair(purge.at, now_));
+      if (!added && found->second.first < purge.at) found->second = {purge.at, now_};
+    };
+    if (purge.group)
+      return record(host.groups_purged,
+                    static_cast<int>(purge.rank % static_cast<std::uint64_t>(plan_.load.groups)));
+    record(host.objects_purged, object_of(purge));
+  }
   void deliver_purge(DirectorHost& host, const Purge& purge) {
+    record_notification(host, purge);
     if (purge.group) {
       const int group = static_cast<int>(purge.rank % static_cast<std::uint64_t>(plan_.load.groups));
-      host.groups_purged[group] = {purge.at, now_};
       if (defect_ != InjectedDefect::kIgnoresPurge) host.policy->group_purged(now_, {group}, now_ - purge.at);
       return;
     }
     const std::uint64_t object = object_of(purge);
-    host.objects_purged[object] = {purge.at, now_};
     if (defect_ != InjectedDefect::kIgnoresPurge) host.policy->object_purged(now_, {object}, now_ - purge.at);
   }
 
@@ -1014,13 +1056,20 @@
       case EventKind::kRequestDeadline:
         return reach_deadline(event.id);
       case EventKind::kListChangeDelivered: {
+        if (postpone_delivery(event)) return;
         DirectorHost& host = *hosts_[event.index];
         host.policy->list_starts(now_, ListCompleteness::kChanges);
         list_entry(host, static_cast<std::uint32_t>(event.id));
         return host.policy->list_ends(now_);
       }
       case EventKind::kPurgeDelivered:
+        if (now_ < stream_lost_until_) postpone_purge(event);
+        if (postpone_delivery(event)) return;
         return deliver_purge(*hosts_[event.index], purges_[event.id]);
+      case EventKind::kPurgeNotified:
+        return record_notification(*hosts_[event.index], purges_[event.id]);
+      case EventKind::kStreamFollowed:
+        return hosts_[event.index]->policy->change_stream_followed(now_);
       case EventKind::kFault:
         return apply_fault(event.index < plan_.faults.size()
                                ? plan_.faults[event.index]
@@ -1088,6 +1137,7 @@
   std::uint64_t attempt_count_ = 0, origin_fetches_ = 0, previous_attempt_count_ = 0,
                 previous_origin_fetches_ = 0;
   double burst_ = 1, list_lag_ = 1;
+  Seconds stream_lost_at_ = 0, stream_lost_until_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<Node> nodes_;
   std::uint32_t origin_ = 0;
--- a/src/lab/world/world.hpp
+++ b/src/lab/world/world.hpp
@@ -24,6 +24,7 @@
   kIgnoresDrain,
   kIgnoresWarmUp,
   kIgnoresPurge,
+  kIgnoresStreamLoss,
   kMiscountsOpenRequests
 };
 
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -155,6 +155,29 @@
   hareramp::check_trace("lab_mutants", trace);
 }
 
+// Guards against copies from before purges that the directors do not receive (issue 56).
+TEST_CASE("while the change stream is lost no copy is used that a notified purge forbids") {
+  Plan plan = small_plan();
+  plan.load.request_classes.resize(1);
+  plan.load.object_lifetime = 600, plan.duration = 30;
+  const auto run = [&](double lost_for, std::uint64_t seed, InjectedDefect defect) {
+    plan.faults = {fault("purge_object", 4, 24, "", 0, 1), fault("stream_lost", 10, lost_for, "", 0, 1)};
+    plan.faults.front().rate = 10;
+    return simulate(plan, "design", seed, defect);
+  };
+  for (const std::uint64_t seed : {1u, 2u, 3u}) {
+    for (const double lost_for : {8.0, 18.0}) {
+      const RunResult result = run(lost_for, seed, InjectedDefect::kNone);
+      CHECK(result.findings.answers_checked > 100);
+      CHECK(result.findings.all_rules_hold());
+      CHECK(run(lost_for, seed, InjectedDefect::kIgnoresStreamLoss).findings.stale > 0);
+    }
+    // A loss that ends before purges count as notified costs nothing.
+    CHECK(run(1.9, seed, InjectedDefect::kNone).utility ==
+          run(1.9, seed, InjectedDefect::kIgnoresStreamLoss).utility);
+  }
+}
+
 TEST_CASE("the schedule search finds the worst faults, shrinks to them, and is repeatable") {
   Plan plan = small_plan();
   // Severe is a schedule with a slow parent and a burst; other faults add little.
