--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -79,14 +79,16 @@
   std::size_t max_flow_connections = 0;  // connections counted at once
   std::size_t max_flow_names = 0;        // names of locations, nodes and request classes
   std::size_t max_flows_per_turn = 0;    // flows ended in one turn of the event loop
-  std::size_t max_spool_jobs = 0;        // jobs queued for the disk
-  std::size_t spool_read_size = 0;       // bytes read at once for a collector that catches up
-  double flow_tick_interval = 0;         // s between checks for expired flows and messages that are due
-  double flow_name_retention = 0;        // s that a name is kept after its last use in a record
-  double flow_connect_timeout = 0;       // s to connect to a collector
-  double flow_stall_timeout = 0;         // s after which a collector that accepts no more data is given up
-  double flow_retry_delay = 0;           // s to the next connection attempt after a collector's first failure
-  double flow_max_retry_delay = 0;       // s, the longest delay after repeated failures
+  // Flow export messages sent to one collector in one turn of the event loop.
+  std::size_t max_flow_messages_per_turn = 0;
+  std::size_t max_spool_jobs = 0;   // jobs queued for the disk
+  std::size_t spool_read_size = 0;  // bytes read at once for a collector that catches up
+  double flow_tick_interval = 0;    // s between checks for expired flows and messages that are due
+  double flow_name_retention = 0;   // s that a name is kept after its last use in a record
+  double flow_connect_timeout = 0;  // s to connect to a collector
+  double flow_stall_timeout = 0;    // s after which a collector that accepts no more data is given up
+  double flow_retry_delay = 0;      // s to the next connection attempt after a collector's first failure
+  double flow_max_retry_delay = 0;  // s, the longest delay after repeated failures
   double flow_primary_check_interval = 0;  // s between checks whether a preferred collector is back
   double flow_trim_interval = 0;           // s between checks of the spool's age, and writes of its cursors
   double flow_shutdown_timeout = 0;        // s to export the last records after all requests are answered
--- a/src/flow/exporter.cpp
+++ b/src/flow/exporter.cpp
@@ -689,8 +689,16 @@
 
 // --- delivery to collectors ---
 
+// Waits for the next turn of the event loop after a number of messages. Guards against a backlog that is sent
+// in one turn, as far as the socket takes it: clients would wait for it, and where the compiler makes no tail
+// calls of coroutine resumptions each message would use stack until the turn ends.
 Task<> Exporter::deliver(Exporter& self, Stream& stream, ReceiverPointer receiver) {
+  std::size_t sent_in_turn = 0;
   while (!receiver->stopped) {
+    if (sent_in_turn >= self.limits_.max_flow_messages_per_turn) {
+      sent_in_turn = 0;
+      co_await self.scheduler_.sleep_until(Scheduler::now());
+    }
     const auto choice = receiver->delivery.choose_collector(self.now());
     if (choice) {
       if (!co_await self.connect_collector(*receiver, *choice)) {
@@ -704,8 +712,10 @@
           Scheduler::now() + kPollInterval, self.clock_.to_scheduler(receiver->delivery.next_attempt_at())));
       continue;
     }
-    if (!co_await self.send_next(stream, *receiver) && receiver->session && !receiver->stopped)
-      co_await receiver->wake.wait();
+    ++sent_in_turn;
+    if (co_await self.send_next(stream, *receiver) || !receiver->session || receiver->stopped) continue;
+    co_await receiver->wake.wait();
+    sent_in_turn = 0;
   }
   receiver->session.reset();
 }
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -101,8 +101,9 @@
   limits.max_flow_connections = limits.max_clients + limits.max_node_connections + 32;
   // Under 200 bytes each: a tenth of the memory.
   limits.max_flow_names = clamp_count(memory / 2048, 1024, 65536);
-  limits.max_flows_per_turn = 256;  // about 0.3 ms of work
-  limits.max_spool_jobs = 64;       // one batch each: several seconds at 10 batches a second
+  limits.max_flows_per_turn = 256;         // about 0.3 ms of work
+  limits.max_flow_messages_per_turn = 64;  // clients wait meanwhile
+  limits.max_spool_jobs = 64;              // one batch each: several seconds at 10 batches a second
   limits.spool_read_size = 256 * kKb;
   limits.flow_tick_interval = 0.05;         // the most by which a record is late
   limits.flow_name_retention = 3600;        // longer than any message waits in memory
--- a/tests/flow/exporter_disk_test.cpp
+++ b/tests/flow/exporter_disk_test.cpp
@@ -35,6 +35,7 @@
   made.max_flow_names = 1 << 16;
   made.max_flows_per_turn = 64;
   made.max_spool_jobs = 64;
+  made.max_flow_messages_per_turn = 64;
   made.spool_read_size = 256 << 10;
   made.flow_tick_interval = 0.005;
   made.flow_name_retention = 3600;
@@ -217,6 +218,36 @@
   run.scheduler.clear();
 }
 
+// Guards against a backlog that is sent without a pause: the loop would stand still meanwhile, and the stack
+// would be used up where resumptions nest.
+TEST_CASE("a backlog is sent a bounded number of messages at a time, between which other tasks run") {
+  Folder folder;
+  const auto collector_at = unused_loopback_address();
+  Run run(folder, collector_at, 86400, 1 << 20, 1200 << 10);
+  for (int i = 0; i < 30000; ++i) {
+    run.exporter->request_class("a name that is as long as names of request classes may be: " +
+                                std::to_string(i));
+    if (i % 500 == 499) REQUIRE(run.until_all_on_disk());
+  }
+  REQUIRE(run.counters.flow_messages > 4 * run.bounds.max_flow_messages_per_turn);
+  std::uint64_t most_in_turn = 0;
+  const auto count_per_turn = [](Run& counted, std::uint64_t& most) -> transport::Task<> {
+    for (;;) {
+      const std::uint64_t before = counted.counters.flow_messages_sent;
+      co_await counted.scheduler.sleep_until(Scheduler::now());
+      most = std::max(most, counted.counters.flow_messages_sent - before);
+    }
+  };
+  flows_tool::Archive archive(folder.path + "/archive", {});
+  flows_tool::Collector collecting(run.scheduler, archive, 32473, 16);
+  collecting.listen_tcp(collector_at);
+  run.scheduler.spawn(count_per_turn(run, most_in_turn));
+  REQUIRE(run.run_until_true([&] { return run.counters.flow_messages_sent > 1000; }));
+  CHECK(most_in_turn > 0);
+  CHECK(most_in_turn <= run.bounds.max_flow_messages_per_turn);
+  run.scheduler.clear();
+}
+
 TEST_CASE("system clock stepped by an hour between two runs: no spool entry is taken for too old") {
   for (const double step : {-3600.0, 3600.0}) {
     CAPTURE(step);
