The age of copies is decided in policy/copy_age, out of policy.cpp

Need: the part of policy.cpp that the bound after a lost change stream touched becomes a file with one job. Change: policy::CopyAge owns the purges that arrived and those that may have been missed and computes the greatest age; the lifetimes of a request class's copies are one struct.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -29,8 +29,7 @@
 #include <vector>
 
 #include "policy/cache_group.hpp"
-#include "policy/invalidations.hpp"
-#include "policy/unseen_purges.hpp"
+#include "policy/copy_age.hpp"
 
 namespace hareramp {
 namespace {
@@ -139,8 +138,6 @@
 constexpr Seconds kRetention = 30.0;
 // Seconds between sweeps of state that is no longer needed.
 constexpr Seconds kSweepInterval = 5.0;
-// Smallest age bound in seconds: it must never round to 0, which means any age.
-constexpr Seconds kMinCopyAge = 1e-5;
 // Caches, in the order of the hash, that a request may go to when others have reached their limit.
 constexpr int kMaxCachesPerRequest = 2;
 
@@ -198,7 +195,8 @@
 
 // Settings of a request class, and the mean sending time of its requests.
 struct RequestClass {
-  Seconds base_latency_target = 0.5, dedup_window = 0, fresh_for = 0, stale_for = 0;
+  Seconds base_latency_target = 0.5, dedup_window = 0;
+  policy::CopyLifetimes copies;
   double latency_target_stretch = 0;
   Effect effect = Effect::kNotRetryable;  // an unknown effect is treated as the strictest
   std::string dedup_scope = "all";
@@ -298,8 +296,8 @@
       const std::string effect = text_setting(at + "Effect", "fragile");
       if (effect == "retryable") request_class.effect = Effect::kRetryable;
       if (effect == "dedup") request_class.effect = Effect::kDeduplicated;
-      request_class.fresh_for = std::atof(list_item_setting("FamilyInfo.GoodForS", i, "0").c_str());
-      request_class.stale_for = std::atof(list_item_setting("FamilyInfo.StaleForS", i, "0").c_str());
+      request_class.copies.fresh_for = std::atof(list_item_setting("FamilyInfo.GoodForS", i, "0").c_str());
+      request_class.copies.stale_for = std::atof(list_item_setting("FamilyInfo.StaleForS", i, "0").c_str());
       request_class.goes_to_origin = list_item_setting("FamilyInfo.GoesThrough", i, "false") == "true";
       request_classes.push_back(request_class);
     }
@@ -344,9 +342,7 @@
     max_attempts = number_setting("Permissions.MaxAttempts", 1);
     max_retry_after = std::min(kMaxRetryAfter, number_setting("Permissions.MaxRetryAfterS", 0));
     clock_period = number_setting("PeriodS", 0.001);
-    const Seconds purge_lifetime = number_setting("FamilyInfo.PurgeDoneS", 10);
-    invalidations = policy::Invalidations(purge_lifetime + 1);
-    unseen_purges = policy::UnseenPurges(purge_lifetime);
+    copy_age = policy::CopyAge(number_setting("FamilyInfo.PurgeDoneS", 10));
     parent_warmup_time = number_setting("FamilyInfo.ParentWarmsInS", 20),
     cache_warmup_time = number_setting("Contract.ColdS", 20);
     parent_start_fraction = number_setting("FamilyInfo.ParentColdFrom", 0.05),
@@ -707,16 +703,8 @@
   }
 
   Seconds max_copy_age(const Request& request) {
-    const RequestClass& request_class = request_class_of(request);
-    Seconds bound = request_class.fresh_for > 0 && request.accepts_stale
-                        ? request_class.fresh_for + request_class.stale_for
-                        : request_class.fresh_for;
-    // Rule 5: purges of objects and of groups count until every node must have dropped its older copies.
-    const auto purged_at = std::max(invalidations.latest_purge({request.object}, {request.group}),
-                                    unseen_purges.latest_purge(now));
-    if (!purged_at) return bound;
-    const Seconds since = std::max(now - *purged_at, kMinCopyAge);
-    return bound > 0 ? std::min(bound, since) : since;
+    return copy_age.max_age(now, {request.object}, {request.group}, request_class_of(request).copies,
+                            request.accepts_stale);
   }
 
   // --- choices: without side effects, so that a rule can evaluate them before it acts ---
@@ -920,18 +908,18 @@
   }
   // A copy past its fresh time, where the request class allows one and all else has failed.
   Route stale_route(const Request& request) {
-    if (request.accepts_stale || request_class_of(request).stale_for <= 0) return {};
+    if (request.accepts_stale || request_class_of(request).copies.stale_for <= 0) return {};
     return choose_cache(request);
   }
 
   // Logged once for each loss of the change stream that lasts long enough to matter.
   void log_age_bound() {
-    if (age_bound_logged || !unseen_purges.latest_purge(now)) return;
+    if (age_bound_logged || !copy_age.unseen_purges().latest_purge(now)) return;
     age_bound_logged = true;
     actions.log("change stream lost: copies from before are fetched again");
   }
   void follow_change_stream() {
-    unseen_purges.stream_followed();
+    copy_age.unseen_purges().stream_followed();
     if (std::exchange(age_bound_logged, false))
       actions.log("change stream followed: copies are used again whatever their age");
   }
@@ -965,7 +953,7 @@
                               .max_copy_age = max_copy_age(request),
                               .join = can_join,
                               .cached_only = is_parent(route.source) && !origin_admits(request),
-                              .background_refresh = request_class_of(request).fresh_for > 0};
+                              .background_refresh = request_class_of(request).copies.fresh_for > 0};
     const bool repeatable = request_class_of(request).effect == Effect::kRetryable;
     const bool acts_when_late = may_send_concurrent_attempts || may_cancel;
     const Seconds dedup_window =
@@ -1123,7 +1111,7 @@
         // answer's detail shows this, and a copy that is refreshed in the background uses the source all the
         // same.
         if ((detail == AnswerDetail::kHit || detail == AnswerDetail::kJoined) &&
-            request_class_of(request).fresh_for <= 0 && attempt.source_charge > 0)
+            request_class_of(request).copies.fresh_for <= 0 && attempt.source_charge > 0)
           budget_charges[source_node].emplace_back(attempt.sent_at, -attempt.source_charge);
         if (!has_source || !filled) break;
         const bool by_origin =
@@ -1333,7 +1321,7 @@
   void sweep() {
     std::erase_if(part_usage,
                   [&](const auto& entry) { return now - entry.second.last_request_at > kRetention; });
-    invalidations.expire(now);
+    copy_age.invalidations().expire(now);
     // Guards against node ids that keep changing: a node that has left the list is forgotten once none of its
     // attempts is in flight and its budget has expired. There is no cost: should the id return, it counts as
     // just started.
@@ -1400,8 +1388,7 @@
 
   std::map<RequestId, Request> requests;
   std::unordered_map<std::uint64_t, PartUsage> part_usage;
-  policy::Invalidations invalidations{0};  // replaced when the settings are read
-  policy::UnseenPurges unseen_purges{0};   // likewise
+  policy::CopyAge copy_age{0};  // replaced when the settings are read
 };
 
 // Evaluated in this order, starting again at the top after each rule that applies. Each rule is a condition
@@ -1567,17 +1554,17 @@
 
 void Director::change_stream_lost(Seconds now, StreamLoss loss, Seconds lost_at, Seconds last_received) {
   State& state = state_->advance_to(now);
-  if (const auto notified_at = state.unseen_purges.stream_lost(loss, lost_at, last_received))
+  if (const auto notified_at = state.copy_age.unseen_purges().stream_lost(loss, lost_at, last_received))
     state.actions.set_timer(std::max(now, *notified_at), {"unseen-purges"});
 }
 void Director::change_stream_followed(Seconds now) { state_->advance_to(now).follow_change_stream(); }
 
 // The time of a purge is stored, not its age: age bounds are computed from it when a request is sent.
 void Director::object_purged(Seconds now, ObjectId object, Seconds age) {
-  state_->advance_to(now).invalidations.object_purged(now, object, age);
+  state_->advance_to(now).copy_age.invalidations().object_purged(now, object, age);
 }
 void Director::group_purged(Seconds now, GroupId group, Seconds age) {
-  state_->advance_to(now).invalidations.group_purged(now, group, age);
+  state_->advance_to(now).copy_age.invalidations().group_purged(now, group, age);
 }
 
 void Director::timer_fired(Seconds now, const TimerToken& token) {
