Log why each client connection closes and how each request ends; count memory in use

No counter said how much memory a director uses, a closed client connection had no reason, and no record carried a request's id.

Change: counters memory_resident, memory_limit, clients_idle, clients_unfinished, clients_evicted; at the level debug of the operator's file the records client_closed (with its reason), attempt_started, attempt_ended, request_ended, each with the request's id. At the default level nothing is written for a request, as before. The records are formatted only where the level is written.

--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -18,6 +18,9 @@
   COUNT(clients_accepted, "client connections accepted")                                         \
   COUNT(clients_closed, "of these, closed")                                                      \
   COUNT(clients_slow, "client connections closed: the client did not read the answer in time")   \
+  COUNT(clients_idle, "client connections closed: no request for too long")                      \
+  COUNT(clients_unfinished, "client connections closed: a request was not sent in time")         \
+  COUNT(clients_evicted, "client connections closed: to make room for another client")           \
   COUNT(clients_bad, "client connections closed: malformed or unsupported request")              \
   COUNT(accept_paused, "times that accepting paused because of a limit or an error")             \
   COUNT(health_asked, "health check requests")                                                   \
@@ -53,6 +56,8 @@
   COUNT(reloads_failed, "configuration reloads that failed")                                     \
   COUNT(nodes, "nodes known now, including those removed recently")                              \
   COUNT(purges, "purges received")                                                               \
+  COUNT(memory_resident, "bytes of memory that the process uses now")                            \
+  COUNT(memory_limit, "bytes of memory that the process may use")                                \
   COUNT(bytes_answered, "body bytes sent to clients")                                            \
   COUNT(bytes_filled, "body bytes received from nodes")                                          \
   COUNT(octets_from_clients, "bytes read from client connections")                               \
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -79,6 +79,8 @@
   logger_->set_level(spdlog_level(lowest_level));
 }
 
+bool Log::is_enabled(LogLevel level) const { return logger_->should_log(spdlog_level(level)); }
+
 void Log::event(LogLevel level, std::string_view event, std::string_view message, LogFields fields) {
   const auto severity = spdlog_level(level);
   if (!logger_->should_log(severity)) return;
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -1,5 +1,6 @@
 // The director's log: each call writes one record (UTC time, level, event name, message, fields) to a file
-// descriptor, as text or as JSON lines, through spdlog. Nothing is logged per request. Logging never blocks
+// descriptor, as text or as JSON lines, through spdlog. Records for each request
+// exist only at the level debug. Logging never blocks
 // on the reader of the descriptor.
 #pragma once
 
@@ -39,6 +40,8 @@
 
   void configure(LogFormat form, LogLevel lowest_level);
   LogFormat format() const { return format_; }
+  // Whether records of this level are written: to be asked before one is formatted for each request.
+  bool is_enabled(LogLevel level) const;
 
   // The event name is in snake_case and stays the same in all versions; the message is for human readers and
   // may change.
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/process_memory.hpp"
 #include "distribution/subscription.hpp"
 #include "flow/exporter.hpp"
 #include "program/operator.hpp"
@@ -102,6 +103,8 @@
 
  private:
   void log_counters() {
+    counters_.memory_resident = resident_memory();
+    counters_.memory_limit = config_.memory;
     log_.event(LogLevel::kInfo, "counters", fmt::format("{}: {}", config_.name, counters_line(counters_)));
   }
 
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -63,6 +63,11 @@
   return ::recv(socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// The names of ClientConnection::CloseReason in the log.
+constexpr std::array<std::string_view, 9> kCloseReasonNames = {"by_client",  "after_answer", "malformed",
+                                                               "unfinished", "idle",         "slow_reader",
+                                                               "evicted",    "shutdown",     "lacks_memory"};
+
 }  // namespace
 
 ClientConnection::EvictionPriority ClientConnection::eviction_priority(Seconds now) const {
@@ -170,8 +175,10 @@
       } else if (Scheduler::now() < last_active_at_ + read_timeout) {
         continue;  // an answer was written meanwhile
       } else if (parser_.in_message()) {
+        set_close_reason(CloseReason::kUnfinished);
         refuse(408);
       } else if (!has_unread(socket_)) {
+        set_close_reason(CloseReason::kIdle);
         begin_lingering_close();
       }
       continue;
@@ -189,6 +196,7 @@
   try {
     read_requests();
   } catch (...) {  // no memory for the request
+    set_close_reason(CloseReason::kLacksMemory);
     listener_.report_failure(std::current_exception());
     answer_and_close(kRejectedAnswer);
   }
@@ -245,6 +253,7 @@
 }
 
 void ClientConnection::answer_with_fallback(const RequestId& request, std::string_view text) {
+  set_close_reason(CloseReason::kLacksMemory);
   listener_.report_failure(std::current_exception());
   if (awaiting_director_ && request == open_request_id_) answer_and_close(text);
 }
@@ -273,6 +282,7 @@
 
 // Answers a request that cannot be read with this status; whatever follows on the connection is ignored.
 void ClientConnection::refuse(int status) {
+  set_close_reason(CloseReason::kMalformed);
   ++listener_.counters_.clients_bad;
   busy_ = true;
   keep_alive_ = false;
@@ -297,6 +307,7 @@
   try {
     begin_answer(status, extra_headers, std::move(bytes), outcome, detail);
   } catch (...) {  // no memory for the answer
+    set_close_reason(CloseReason::kLacksMemory);
     listener_.report_failure(std::current_exception());
     const bool may_have_run = outcome == ipfix::Outcome::kCompleted || outcome == ipfix::Outcome::kFailed;
     answer_and_close(may_have_run ? kFailedAnswer : kRejectedAnswer);
@@ -308,7 +319,10 @@
   awaiting_director_ = false;
   forwarded_request_.reset();
   label_flow(outcome, detail);
-  if (!keep_alive_) closing_ = true;
+  if (!keep_alive_) {
+    closing_ = true;
+    set_close_reason(CloseReason::kAfterAnswer);
+  }
   listener_.counters_.bytes_answered += bytes.size();
   std::string head = protocol::http_response_head(status, extra_headers, bytes.size(), keep_alive_);
   listener_.scheduler_.spawn(write(shared_from_this(), std::move(head), std::move(bytes)));
@@ -386,7 +400,10 @@
   if (self->closed_) co_return;
   if (!io.ok()) {
     // Guards against a client that does not read. By the reset it can tell that the answer is incomplete.
-    if (io.status == IoStatus::kTimedOut) ++self->listener_.counters_.clients_slow;
+    if (io.status == IoStatus::kTimedOut) {
+      ++self->listener_.counters_.clients_slow;
+      self->set_close_reason(CloseReason::kSlowReader);
+    }
     self->flow_observer_ = nullptr;
     self->socket_.abort();
     self->close_connection();
@@ -400,6 +417,7 @@
 }
 
 bool ClientConnection::evict() {
+  set_close_reason(CloseReason::kEvicted);
   if (!closing_ && parser_.in_message()) answer_and_close(kRejectedAnswer);
   if (closed_) return true;
   if (closing_ && socket_.unacknowledged() > 0) return false;
@@ -409,14 +427,30 @@
 
 void ClientConnection::close_unless_busy() {
   if (busy_ || closing_ || has_request_unread()) return;
+  set_close_reason(CloseReason::kShutdown);
   if (parser_.in_message())
     answer_and_close(kRejectedAnswer);
   else
     begin_lingering_close();
 }
 
+void ClientConnection::set_close_reason(CloseReason reason) {
+  if (close_reason_ != CloseReason::kByClient) return;
+  close_reason_ = reason;
+  Counters& counters = listener_.counters_;
+  if (reason == CloseReason::kIdle) ++counters.clients_idle;
+  if (reason == CloseReason::kUnfinished) ++counters.clients_unfinished;
+  if (reason == CloseReason::kEvicted) ++counters.clients_evicted;
+}
+
+void ClientConnection::log_closed() const {
+  const auto reason = kCloseReasonNames[static_cast<std::size_t>(close_reason_)];
+  listener_.director_.log_request_event("client_closed", open_request_id_, reason);
+}
+
 void ClientConnection::close_connection() {
   if (std::exchange(closed_, true)) return;
+  log_closed();
   const auto self = shared_from_this();
   if (forwarded_request_)
     forwarded_request_->client_gone =
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -41,6 +41,18 @@
   // Closes the connection, on which no request is open, to make room for another one; a partly read request
   // is answered 503. True: its descriptor is free. False: it will be once the client has received its answer.
   bool evict();
+  // Why the director closed a connection, for the log.
+  enum class CloseReason {
+    kByClient,     // the client has closed or reset it
+    kAfterAnswer,  // the client or the answer asked for it
+    kMalformed,    // a request that cannot be read
+    kUnfinished,   // a request was not sent in time
+    kIdle,         // no request for too long
+    kSlowReader,   // the client did not read an answer in time
+    kEvicted,      // room for another client
+    kShutdown,
+    kLacksMemory
+  };
   // Closes the connection unless a request is open or about to be read.
   void close_unless_busy();
 
@@ -82,6 +94,9 @@
   // For flow records: assigns the bytes read for this request, and those that will be written for it, to its
   // label.
   void label_flow(ipfix::Outcome outcome, AnswerDetail detail);
+  // Records why the connection is about to be closed; the first reason counts.
+  void set_close_reason(CloseReason reason);
+  void log_closed() const;
   void close_connection();
   static transport::Task<> serve_mailbox(std::shared_ptr<ClientConnection> self);
   static transport::Task<> read(std::shared_ptr<ClientConnection> self);
@@ -106,6 +121,7 @@
   bool seen_valid_request_ = false;  // a complete request of a kind that is served here has been read
   Seconds linger_until_ = 0;
   bool closed_ = false;
+  CloseReason close_reason_ = CloseReason::kByClient;
   flow::FlowObserver* flow_observer_ = nullptr;  // owned by the socket; null once that is closed
   ipfix::NameNumber location_, request_class_;   // of the request that is open
   std::size_t request_bytes_ = 0;                // read from the socket for the current request
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -1,6 +1,7 @@
 #include "routing/director_actor.hpp"
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 
@@ -16,6 +17,11 @@
 // may have been stepped: an age computed from the two could make a purge look long finished while nodes still
 // hold copies from before it.
 constexpr Seconds kPurgeAge = 0;
+
+// The names of Result in the log.
+constexpr std::array<std::string_view, 10> kResultNames = {
+    "completed", "error",     "rejected", "timed_out", "unreachable",
+    "broken",    "cancelled", "not_sent", "absent",    "local_failure"};
 }  // namespace
 
 // Applies one change of the stream to the Director, and adds, moves or retires upstream nodes by it.
@@ -221,6 +227,7 @@
   if (requests_.contains(id)) {  // the id is in use: nothing would tell the two requests apart, so the second
                                  // fails, and the first gets its only answer
     ++counters_.forfeited;
+    log_request_event("request_ended", id, "id_in_use");
     counters_.open = --open_requests_;
     if (const auto duplicate_sink = response_sink.lock()) duplicate_sink->failed(id);
     return;
@@ -280,6 +287,7 @@
     if (!request) return;  // it was answered while this call was waiting
     mark_answered(*request);
     ++counters_.left;
+    log_request_event("request_ended", id, "client_left");
     director_->client_disconnected(clock_.now(), id);
     erase_if_finished(id);
   });
@@ -315,10 +323,12 @@
   // forward.
   if (content.same_copy && request.forwarded_request->cached.empty()) result = Result::kError;
   count_result(result);
+  log_request_event("attempt_ended", id, kResultNames[static_cast<std::size_t>(result)], node.value);
   request.sent_attempts[attempt_index].in_flight = false;
   if (result == Result::kCompleted && request.unanswered) {
     mark_answered(request);
     ++counters_.completed;
+    log_request_event("request_ended", id, "completed");
     if (content.same_copy) ++counters_.not_modified;
     if (const auto response_sink = request.response_sink.lock())
       response_sink->completed(id, std::move(content));
@@ -329,6 +339,13 @@
   erase_if_finished(id);
 }
 
+void DirectorActor::log_request_event(std::string_view event, const RequestId& request,
+                                      std::string_view reason, std::string_view node) const {
+  if (!log_.is_enabled(LogLevel::kDebug)) return;
+  log_.event(LogLevel::kDebug, event, fmt::format("{} {} {} {}", event, request.value, reason, node),
+             {{"request", request.value}, {"reason", std::string(reason)}, {"node", std::string(node)}});
+}
+
 void DirectorActor::count_result(Result result) {
   switch (result) {
     case Result::kCompleted:
@@ -370,6 +387,7 @@
   const Seconds now = Scheduler::now();
   request->sent_attempts.push_back({node, now});
   ++counters_.attempts;
+  log_request_event("attempt_started", id, "", node.value);
   const auto upstream_node = upstream_nodes_.find(node);
   // The deadline may have passed while the process was suspended, or the client may have disconnected: no
   // client waits for this answer any more.
@@ -393,6 +411,7 @@
   if (!request) return;
   mark_answered(*request);
   ++counters_.bounced;
+  log_request_event("request_ended", id, "rejected");
   if (const auto response_sink = request->response_sink.lock()) response_sink->rejected(id, retry_after);
   mailbox_.post([this, id] { erase_if_finished(id); });
 }
@@ -402,6 +421,7 @@
   if (!request) return;
   mark_answered(*request);
   ++counters_.forfeited;
+  log_request_event("request_ended", id, "failed");
   if (const auto response_sink = request->response_sink.lock()) response_sink->failed(id);
   mailbox_.post([this, id] { erase_if_finished(id); });
 }
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -71,6 +71,10 @@
                        bool is_write, std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
                        std::weak_ptr<ResponseSink> response_sink);
   void client_left(const RequestId& request);
+  // Writes a record of the level debug about one request or its connection: the event's name, the request's
+  // id (empty: none) and the reason or the result.
+  void log_request_event(std::string_view event, const RequestId& request, std::string_view reason,
+                         std::string_view node = {}) const;
   // Counts a request that was rejected at a limit of this process and does not reach the Director; the caller
   // answers it.
   void count_rejected_at_limit() { ++counters_.taken, ++counters_.bounced, ++counters_.turned_back; }
--- a/tests/routing/client_connection_test.cpp
+++ b/tests/routing/client_connection_test.cpp
@@ -451,6 +451,28 @@
   }
 }
 
+TEST_CASE("at the level debug the log names why each connection was closed, and how its request ended") {
+  TestDirector director([](Limits& limits) { limits.request_read_timeout = 0.05; });
+  director.log.configure(LogFormat::kJson, LogLevel::kDebug);
+  PlainClient unfinished(director.listener->address()), malformed(director.listener->address()),
+      leaving(director.listener->address());
+  unfinished.send("GET /_health HTTP/1.1\r\n");
+  malformed.send("nonsense\r\n\r\n");
+  leaving.send(get(kId1));
+  director.wait_for_attempts(kId1, 1);
+  leaving.close();
+  director.wait_until([&] { return director.counters.clients_closed == 3; });
+  std::string text(1 << 14, '\0');
+  text.resize(static_cast<std::size_t>(pread(fileno(director.log_file), text.data(), text.size(), 0)));
+  for (const char* expected : {R"("event":"client_closed","words":"client_closed  unfinished)",
+                               R"("event":"client_closed","words":"client_closed  malformed)",
+                               R"("request":"0000000000000001","reason":"by_client")",
+                               R"("event":"attempt_started","words":"attempt_started 0000000000000001)",
+                               R"("request":"0000000000000001","reason":"client_left")"})
+    CHECK_MESSAGE(text.find(expected) != std::string::npos, expected);
+  CHECK(director.counters.clients_unfinished == 1);
+}
+
 TEST_CASE("an unread request that arrives as a drain ends is served; an idle connection is closed") {
   TestDirector director;
   PlainClient requesting(director.listener->address()), idle(director.listener->address());
