--- a/experiments/rig/world.cpp
+++ b/experiments/rig/world.cpp
@@ -208,11 +208,11 @@
   std::string servers;
   for (const auto& [id, address] : site.caches)
     servers += fmt::format(
-        R"({{"id":"{}","addr":"{}","zone":"edge","kind":"cache","cell":0,"state":"active","weight":8,"started_ms":0}},)",
-        id, address);
+        R"({{"id":"{}","addr":"{}","zone":"edge","kind":"cache","cell":0,"state":"active","weight":{},"started_ms":0}},)",
+        id, address, site.cache_weight);
   servers += fmt::format(
-      R"({{"id":"origin","addr":"{}","zone":"hub","kind":"origin","cell":1,"state":"active","weight":1,"started_ms":0}})",
-      site.origin);
+      R"({{"id":"origin","addr":"{}","zone":"hub","kind":"origin","cell":1,"state":"active","weight":{},"started_ms":0}})",
+      site.origin, site.origin_weight);
   return fmt::format(
              R"({{"name":"rig","listen":"{}","seed":"8c1f30d27a5be964","changelog":"{}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},
 "known":{{"seq":1,"results":[{{"seq":1,"fleet":{{"version":1,"full":true,"servers":[{}]}}}}]}},)",
--- a/experiments/rig/world.hpp
+++ b/experiments/rig/world.hpp
@@ -130,6 +130,7 @@
   std::vector<std::pair<std::string, std::string>> caches;  // id and address
   std::string origin;
   int memory_mb = 192, sockets = 1024;
+  int cache_weight = 8, origin_weight = 1;  // capacity, in transfers at the full rate
 };
 std::string configuration(const Site& site);
 
