Reads under ever new names no longer grow the memory of requested parts without end

Callers saw: a director passed its memory limit and was killed while one client sent reads under ever new names.

Cause: the decisions remembered each requested part for 30 s, whatever the number (part_usage, an unordered map).

Change: policy/part_usage bounds the number by the memory (max_tracked_parts, a tenth of it). A part requested once gives way before repeated ones, so new names do not displace popular parts; expiry touches only what expires. Why it works: the bound holds for any rate and any settings.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -30,6 +30,7 @@
 
 #include "policy/cache_group.hpp"
 #include "policy/copy_age.hpp"
+#include "policy/part_usage.hpp"
 
 namespace hareramp {
 namespace {
@@ -238,12 +239,6 @@
   }
 };
 
-// Recent use of one part of an object.
-struct PartUsage {
-  double recent_kb = 0;
-  Seconds last_request_at = kDistantPast;
-};
-
 // Indexes of nodes by their role for this director.
 struct SortedNodes {
   std::vector<int> parents;     // of all zones
@@ -279,13 +274,15 @@
   };
   static const std::vector<Rule> kRules;
 
-  State(Seconds start, Settings initial_settings, std::uint64_t seed, Actions& action_sink)
+  State(Seconds start, Settings initial_settings, std::uint64_t seed, Actions& action_sink,
+        const DirectorLimits& limits)
       : settings(std::move(initial_settings)),
         actions(action_sink),
         random_engine(static_cast<std::uint_fast32_t>(mix(seed))),
         director_hash(mix(mix(seed))),
         now(start),
-        director_started_at(start) {
+        director_started_at(start),
+        part_usage(limits.max_tracked_parts, kHotObjectSpan) {
     for (int i = 0; i < number_setting("RequestClasses.count", 1); ++i) {
       const std::string at = "RequestClasses." + std::to_string(i) + ".";
       RequestClass request_class;
@@ -1319,8 +1316,7 @@
   }
 
   void sweep() {
-    std::erase_if(part_usage,
-                  [&](const auto& entry) { return now - entry.second.last_request_at > kRetention; });
+    part_usage.expire(now - kRetention);
     copy_age.invalidations().expire(now);
     // Guards against node ids that keep changing: a node that has left the list is forgotten once none of its
     // attempts is in flight and its budget has expired. There is no cost: should the id return, it counts as
@@ -1387,7 +1383,7 @@
   std::vector<std::vector<std::pair<Seconds, double>>> budget_charges;  // time and seconds of sending
 
   std::map<RequestId, Request> requests;
-  std::unordered_map<std::uint64_t, PartUsage> part_usage;
+  policy::PartUsage part_usage;
   policy::CopyAge copy_age{0};  // replaced when the settings are read
 };
 
@@ -1422,8 +1418,9 @@
 
 // --- inputs ---
 
-Director::Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions)
-    : state_(std::make_unique<State>(now, std::move(settings), seed, actions)) {}
+Director::Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions,
+                   const DirectorLimits& limits)
+    : state_(std::make_unique<State>(now, std::move(settings), seed, actions, limits)) {}
 Director::~Director() = default;
 std::size_t Director::nodes_known() const { return state_->node_index.size(); }
 Seconds Director::max_copy_age(Seconds now, const RequestId& id) {
@@ -1486,12 +1483,11 @@
   if (state.transfer_kb_per_s > 0 && size_kb > 0)
     state.request_classes[request.request_class].send_times.add(now, size_kb / state.transfer_kb_per_s, 1);
   if (!state.is_write(request)) {
-    PartUsage& usage = state.part_usage[request.part_key];
+    const policy::PartUsage::Use use = state.part_usage.record(now, request.part_key, size_kb);
+    request.requested_before = use.previous_request_at.has_value();
     // A single request within the span makes no object hot.
-    request.requested_before = usage.last_request_at > kDistantPast,
-    request.hot = now - usage.last_request_at <= kHotObjectSpan;
-    usage.recent_kb = usage.recent_kb * std::exp((usage.last_request_at - now) / kHotObjectSpan) + size_kb;
-    usage.last_request_at = now, request.hot = request.hot && state.is_hot(request, usage.recent_kb);
+    request.hot = request.requested_before && now - *use.previous_request_at <= kHotObjectSpan &&
+                  state.is_hot(request, use.recent_kb);
   }
   state.all_send_times.add(now, state.send_time(request), 1);
   // Derived from the object and the time, so that neither a client's repeat nor another director gets a
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -103,10 +103,16 @@
   virtual void log(const std::string& message) = 0;
 };
 
+// Bounds on what a director remembers; they follow the memory that its process may use.
+struct DirectorLimits {
+  std::size_t max_tracked_parts = 1 << 20;  // parts of objects remembered as requested recently
+};
+
 // One director. Every call passes the current time, which never decreases.
 class Director {
  public:
-  Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions);
+  Director(Seconds now, Settings settings, std::uint64_t seed, Actions& actions,
+           const DirectorLimits& limits = {});
   ~Director();
   Director(const Director&) = delete;
   Director& operator=(const Director&) = delete;
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -66,6 +66,9 @@
   limits.max_request_kb = stream_kb_per_s > 0 ? stream_kb_per_s * limits.max_deadline : 1e6;
   limits.group_count = 256;  // fixed by the protocol
 
+  // About 110 bytes each: a tenth of the memory. With 32 MB the parts of 30 s at 1,000 new ones a second.
+  limits.max_tracked_parts = clamp_count(memory / kKb, 1024, 1 << 24);
+
   limits.max_clients = clamp_count(sockets / 3, 1, 100000);
   // 32 descriptors are reserved for the log, epoll, signals, the listener and the change stream, which use 8.
   limits.max_node_connections = clamp_count(sockets - sockets / 3 - 32, 1, 100000);
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -136,7 +136,8 @@
       mailbox_(scheduler),
       change_mailbox_(scheduler) {
   Actions& actions = *this;
-  director_ = std::make_unique<Director>(clock_.now(), std::move(settings), seed, actions);
+  director_ = std::make_unique<Director>(clock_.now(), std::move(settings), seed, actions,
+                                         DirectorLimits{.max_tracked_parts = limits.max_tracked_parts});
 }
 
 DirectorActor::~DirectorActor() = default;
