Error answers at full speed no longer grow the list of late answers without end

Callers saw: a director passed its memory limit and was killed while one client sent requests that nodes answer with an error, on one connection at full speed.

Cause: each connection to a node keeps the ids of requests that may still be answered late, for 0.7 of the nodes' idle time (10.5 s), whatever their number. At 12,600 error answers a second that is over 130,000 ids. A second place: the idle timer kept closed connections, with their buffers, for as long.

Change: routing/late_answers holds the ids; over max_expected_late_answers for all connections together (a sixteenth of the memory) the connection with the most of them is retired and closes when its attempts have ended. Closed connections keep none, and the idle timer no longer holds them. Why it works: the sum over all connections is bounded, not each.

--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -41,6 +41,7 @@
   COUNT(links_idle, "connections to nodes closed as idle")                                       \
   COUNT(links_doubted, "connections to nodes given up as unresponsive")                          \
   COUNT(links_turned_away, "connections to nodes retired: every answer on them was a rejection") \
+  COUNT(links_forgetting, "connections to nodes retired: too many late answers to expect")       \
   COUNT(links_stalled, "connections to nodes that stalled in the middle of an answer")           \
   COUNT(moved_on, "unsent attempts moved from an ended connection to another one")               \
   COUNT(late_answers, "answers to attempts that had already ended")                              \
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -26,8 +26,10 @@
   std::size_t max_node_connections = 0;         // connections to nodes, all nodes together
   std::size_t max_connections_per_node = 0;     // connections to one node
   std::size_t max_attempts_per_connection = 0;  // attempts in flight on one connection
-  int listen_backlog = 0;                       // connections waiting to be accepted
-  std::int64_t group_count = 0;                 // groups of objects
+  // Requests that nodes may still answer although their attempt has ended, all connections together.
+  std::size_t max_expected_late_answers = 0;
+  int listen_backlog = 0;        // connections waiting to be accepted
+  std::int64_t group_count = 0;  // groups of objects
   // times, in seconds
   // To establish a connection to a node.
   double connect_timeout = 0;
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -76,6 +76,8 @@
   // 1,024.
   limits.max_connections_per_node = clamp_count(limits.max_node_connections / 8.0, 2, 10000);
   limits.max_attempts_per_connection = clamp_count(permissions["StreamsPerConn"].number(100), 1, 10000);
+  // About 250 bytes each: a sixteenth of the memory.
+  limits.max_expected_late_answers = clamp_count(memory / (4 * kKb), 256, 1 << 20);
   limits.listen_backlog = 512;  // a proxy in front that reconnects all its clients at once
 
   limits.connect_timeout = permissions["ConnectTimeoutS"].number(0.4);
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -100,7 +100,7 @@
     auto& upstream_node = actor_.upstream_nodes_[node];
     if (!upstream_node) {
       upstream_node = std::make_shared<UpstreamNode>(actor_.scheduler_, actor_.limits_, actor_.counters_,
-                                                     actor_.connection_count_, node, address, actor_,
+                                                     actor_.upstream_resources_, node, address, actor_,
                                                      actor_.flows_, node_role_of(kind));
       upstream_node->start();
     } else if (!(actor_.addresses_[node] == address)) {
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -138,7 +138,8 @@
   Seconds hold_until_ = 0;                       // calls in mailbox_ wait until then
   Seconds deadline_cap_ = transport::kNever;     // no deadline is later, and nothing is held for longer
   bool change_backlog_ = false;  // the change stream had more to read when its last changes arrived
-  std::size_t connection_count_ = 0, open_requests_ = 0;
+  UpstreamResources upstream_resources_;
+  std::size_t open_requests_ = 0;
   std::map<NodeId, std::shared_ptr<UpstreamNode>> upstream_nodes_;
   std::map<NodeId, transport::Address> addresses_;
   std::map<RequestId, Request> requests_;
--- a/src/routing/upstream_node.cpp
+++ b/src/routing/upstream_node.cpp
@@ -1,9 +1,10 @@
 #include "routing/upstream_node.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
+#include "routing/late_answers.hpp"
+
 namespace hareramp::routing {
 
 using transport::IoResult;
@@ -23,6 +24,7 @@
   UpstreamConnection(UpstreamNode& owner, const Limits& limits)
       : node(owner),
         read_buffer(limits.retained_buffer),
+        late_answers(owner.resources_.expected_late_answers),
         parser(limits.max_answer_line, limits.max_answer_body) {}
 
   void answer(std::string_view id, Result result, AnswerDetail detail, Seconds waited, bool same_copy,
@@ -42,22 +44,15 @@
     const bool rejected = result == Result::kRejected && detail == AnswerDetail::kNone;
     if (rejected && !served && !std::exchange(retiring, true)) ++node.counters_.links_turned_away;
     served = served || !rejected;
-    if (result != Result::kCompleted)
-      expect_late_answer(request);  // the request may be retried, and its answer may arrive twice
+    if (result != Result::kCompleted) {  // the request may be retried, and its answer may arrive twice
+      late_answers.expect(request, Scheduler::now());
+      node.limit_late_answers();
+    }
     node.end_attempt(weak_self.lock(), request, result, detail, waited, report,
                      Content{same_copy, std::string(tag), std::string(body), detail});
   }
 
   void unknown_field(std::string_view) override { ++node.counters_.unknown_fields; }
-  void expect_late_answer(const RequestId& request) {
-    late_answer_ids.insert(request);
-    late_answer_times.emplace_back(Scheduler::now(), request);
-  }
-  void expire_late_answers(Seconds expired_before) {
-    for (; !late_answer_times.empty() && late_answer_times.front().first < expired_before;
-         late_answer_times.pop_front())
-      late_answer_ids.erase(late_answer_times.front().second);
-  }
   // Whether the first byte of the request's message has been written.
   bool write_started(const RequestId& request) const {
     if (!outgoing.empty() && outgoing.front().request == request) return first_message_bytes_written > 0;
@@ -71,6 +66,7 @@
   transport::Socket socket;
   flow::FlowObserver* flow_observer = nullptr;  // owned by the socket; null once that is closed
   transport::Buffer read_buffer;
+  LateAnswers late_answers;
   protocol::AnswerParser parser;
   std::deque<UpstreamMessage> outgoing;
   std::size_t first_message_bytes_written = 0;  // bytes written of the first message in outgoing
@@ -78,21 +74,18 @@
   bool awaiting_writable = false, retiring = false, suspect = false;
   bool served = false;  // the node has answered something other than a plain rejection on this connection
   std::map<RequestId, OpenAttempt> open_attempts;
-  std::set<RequestId>
-      late_answer_ids;  // abandoned, or answered but not completed: another answer may still arrive
-  std::deque<std::pair<Seconds, RequestId>> late_answer_times;
   Seconds last_read_at = 0;
   Seconds idle_since = 0;
   bool idle_timer_set = false;
 };
 
 UpstreamNode::UpstreamNode(Scheduler& scheduler, const Limits& limits, Counters& counters,
-                           std::size_t& connection_count, NodeId node, transport::Address address,
+                           UpstreamResources& resources, NodeId node, transport::Address address,
                            AttemptObserver& observer, flow::Exporter* flows, ipfix::NodeRole role)
     : scheduler_(scheduler),
       limits_(limits),
       counters_(counters),
-      connection_count_(connection_count),
+      resources_(resources),
       node_(std::move(node)),
       address_(address),
       observer_(observer),
@@ -147,12 +140,12 @@
   ConnectionPointer least_loaded = least_loaded_connection(request, false);
   if (least_loaded && least_loaded->open_attempts.empty()) return least_loaded;
   if (connections_.size() >= limits_.max_connections_per_node ||
-      connection_count_ >= limits_.max_node_connections)
+      resources_.connections >= limits_.max_node_connections)
     return least_loaded;
   auto connection = std::make_shared<UpstreamConnection>(*this, limits_);
   connection->weak_self = connection;
   connections_.push_back(connection);
-  ++connection_count_;
+  ++resources_.connections;
   scheduler_.spawn(run_connection(shared_from_this(), connection));
   return connection;
 }
@@ -166,9 +159,8 @@
     if (connection->retiring || connection->suspect ||
         connection->open_attempts.size() >= limits_.max_attempts_per_connection)
       continue;
-    connection->expire_late_answers(expired_before);
-    if (connection->open_attempts.contains(request) || connection->late_answer_ids.contains(request))
-      continue;
+    connection->late_answers.expire(expired_before);
+    if (connection->open_attempts.contains(request) || connection->late_answers.expects(request)) continue;
     if (connection->open_attempts.empty() && connection->state == UpstreamConnection::State::kUp &&
         connection->socket.closed_by_peer())
       continue;
@@ -232,7 +224,8 @@
       return handle_idle(connection);
     }
     const Seconds now = Scheduler::now();
-    connection->expect_late_answer(request);
+    connection->late_answers.expect(request, now);
+    limit_late_answers();
     connection->outgoing.push_back(UpstreamMessage::cancel(request));
     // Guards against a node that disappears without closing its connections, which then look open for ever,
     // and against a network path that is broken. The cost: a new connection where the node was only slow.
@@ -275,20 +268,38 @@
     set_idle_timer(connection, connection->idle_since + limits_.node_idle_timeout);
 }
 
+// Guards against memory that grows with requests which end without success at full speed: an error answer, an
+// attempt given up. The cost: a new connection to this node.
+void UpstreamNode::limit_late_answers() {
+  if (resources_.expected_late_answers <= limits_.max_expected_late_answers) return;
+  ConnectionPointer largest;
+  for (const ConnectionPointer& connection : connections_)
+    if (!connection->retiring && (!largest || connection->late_answers.size() > largest->late_answers.size()))
+      largest = connection;
+  if (!largest) return;
+  largest->retiring = true;
+  ++counters_.links_forgetting;
+  handle_idle(largest);
+}
+
 void UpstreamNode::set_idle_timer(const ConnectionPointer& connection, Seconds until) {
-  scheduler_.at(until, [weak = weak_from_this(), connection] {
-    const auto node = weak.lock();
-    connection->idle_timer_set = false;
-    if (!node || connection->state != UpstreamConnection::State::kUp || !connection->open_attempts.empty())
-      return;
-    const Seconds due = connection->idle_since + node->limits_.node_idle_timeout;
-    if (Scheduler::now() < due) {
-      connection->idle_timer_set = true;
-      return node->set_idle_timer(connection, due);
-    }
-    ++node->counters_.links_idle;
-    node->close_connection(connection);
-  });
+  scheduler_.at(until,
+                [weak = weak_from_this(), weak_connection = std::weak_ptr<UpstreamConnection>(connection)] {
+                  const auto node = weak.lock();
+                  const ConnectionPointer idle_connection = weak_connection.lock();
+                  if (!idle_connection) return;
+                  idle_connection->idle_timer_set = false;
+                  if (!node || idle_connection->state != UpstreamConnection::State::kUp ||
+                      !idle_connection->open_attempts.empty())
+                    return;
+                  const Seconds due = idle_connection->idle_since + node->limits_.node_idle_timeout;
+                  if (Scheduler::now() < due) {
+                    idle_connection->idle_timer_set = true;
+                    return node->set_idle_timer(idle_connection, due);
+                  }
+                  ++node->counters_.links_idle;
+                  node->close_connection(idle_connection);
+                });
 }
 
 // Closes the connection. Its open attempts end as broken where the command was written whole, so that they
@@ -301,6 +312,7 @@
                 AnswerDetail::kNone, 0);
   connection->flow_observer = nullptr;  // destroyed when the socket closes
   connection->socket.close();
+  connection->late_answers.clear();
   if (!connection->open_attempts.empty()) ++counters_.links_broken;
   remove_connection(connection);
   end_attempts(connection, Result::kBroken, Result::kNotSent, true);
@@ -308,7 +320,7 @@
 
 void UpstreamNode::remove_connection(const ConnectionPointer& connection) {
   connections_.remove(connection);
-  --connection_count_;
+  --resources_.connections;
   if (retired_ && connections_.empty()) mailbox_.close();
 }
 
--- a/src/routing/upstream_node.hpp
+++ b/src/routing/upstream_node.hpp
@@ -40,11 +40,16 @@
   virtual Seconds max_copy_age(const RequestId& request) = 0;
 };
 
+// What the connections to all nodes share.
+struct UpstreamResources {
+  std::size_t connections = 0;            // open or being set up
+  std::size_t expected_late_answers = 0;  // see LateAnswers
+};
+
 class UpstreamNode : public std::enable_shared_from_this<UpstreamNode> {
  public:
-  // connection_count is shared: it counts the connections to all nodes together.
   UpstreamNode(transport::Scheduler& scheduler, const Limits& limits, Counters& counters,
-               std::size_t& connection_count, NodeId node, transport::Address address,
+               UpstreamResources& resources, NodeId node, transport::Address address,
                AttemptObserver& observer, flow::Exporter* flows = nullptr,
                ipfix::NodeRole role = ipfix::NodeRole::kUnknown);
 
@@ -90,6 +95,9 @@
   void close_connection(const ConnectionPointer& connection);
   void remove_connection(const ConnectionPointer& connection);
   void handle_idle(const ConnectionPointer& connection);
+  // Retires the connection with the most requests that may still be answered late, while all connections
+  // together have more of them than allowed.
+  void limit_late_answers();
   void start_writing(const ConnectionPointer& connection);
   void schedule_write_retry(const ConnectionPointer& connection);
   bool write_pending(const ConnectionPointer& connection);
@@ -109,7 +117,7 @@
   transport::Scheduler& scheduler_;
   const Limits& limits_;
   Counters& counters_;
-  std::size_t& connection_count_;
+  UpstreamResources& resources_;
   NodeId node_;
   transport::Address address_;
   AttemptObserver& observer_;
--- a/tests/routing/ends.hpp
+++ b/tests/routing/ends.hpp
@@ -15,13 +15,14 @@
  public:
   UpstreamNodeFixture() {
     limits.retained_buffer = limits.read_size = 1 << 14;
+    limits.max_expected_late_answers = 1000;
     limits.max_answer_line = 200, limits.max_answer_body = 1 << 20;
     limits.max_node_connections = 10, limits.max_connections_per_node = 2,
     limits.max_attempts_per_connection = 5;
     limits.connect_timeout = limits.send_start_timeout = limits.node_idle_timeout = limits.suspect_timeout =
         limits.answer_stall_timeout = 15;
-    upstream_node = std::make_shared<UpstreamNode>(scheduler, limits, counters, connection_count,
-                                                   NodeId{"c1"}, server.address, *this);
+    upstream_node = std::make_shared<UpstreamNode>(scheduler, limits, counters, resources, NodeId{"c1"},
+                                                   server.address, *this);
     upstream_node->start();
   }
   void attempt(const std::string& request, const std::string& body = "") {
@@ -42,7 +43,7 @@
   StandInServer server{scheduler};
   Limits limits;
   Counters counters;
-  std::size_t connection_count = 0;
+  UpstreamResources resources;
   std::shared_ptr<UpstreamNode> upstream_node;
   std::vector<Result> results;
   std::string contents;
--- a/tests/routing/local_failures_test.cpp
+++ b/tests/routing/local_failures_test.cpp
@@ -74,7 +74,7 @@
     *failure = {error, 1};
     upstream.attempt("p1");
     CHECK(upstream.wait_until([&] { return upstream.results.size() == 1; }));
-    CHECK(upstream.connection_count == 0);
+    CHECK(upstream.resources.connections == 0);
     upstream.attempt("p1");
     CHECK(upstream.wait_until([&] { return upstream.server.has_received("serve p1"); }));
     upstream.server.connections.at(0)->send("p1 ACK - 0\r\n\r\n");
@@ -93,7 +93,7 @@
   CHECK(upstream.wait_until(
       [&] { return upstream.server.has_received("serve p2") || !upstream.results.empty(); }));
   CHECK(connect_failure.calls == 0);
-  CHECK(upstream.connection_count == 1);
+  CHECK(upstream.resources.connections == 1);
   REQUIRE(upstream.results.empty());
   upstream.server.connections.at(0)->send("p2 ACK - 0\r\n\r\np1 ACK - 0\r\n\r\n");
   CHECK(upstream.wait_until([&] { return upstream.results.size() == 2; }));
--- a/tests/routing/upstream_node_test.cpp
+++ b/tests/routing/upstream_node_test.cpp
@@ -18,13 +18,14 @@
  public:
   explicit TracingNodeFixture(transport::Address address) {
     limits.retained_buffer = limits.read_size = 1 << 14;
+    limits.max_expected_late_answers = 1000;
     limits.max_answer_line = 200, limits.max_answer_body = 1 << 20;
     limits.max_node_connections = 10, limits.max_connections_per_node = 1,
     limits.max_attempts_per_connection = 5;
     limits.connect_timeout = 5, limits.send_start_timeout = 5, limits.node_idle_timeout = 30,
     limits.suspect_timeout = 0.001, limits.answer_stall_timeout = 15;
-    upstream_node = std::make_shared<UpstreamNode>(scheduler, limits, counters, connection_count,
-                                                   NodeId{"c1"}, address, *this);
+    upstream_node =
+        std::make_shared<UpstreamNode>(scheduler, limits, counters, resources, NodeId{"c1"}, address, *this);
     upstream_node->start();
   }
   std::shared_ptr<protocol::ForwardedRequest> attempt(const std::string& request, int number = 0,
@@ -54,7 +55,7 @@
   Scheduler scheduler;
   Limits limits;
   Counters counters;
-  std::size_t connection_count = 0;
+  UpstreamResources resources;
   std::shared_ptr<UpstreamNode> upstream_node;
   std::string trace;
   Seconds current_max_copy_age = 0;  // what max_copy_age() returns
@@ -128,7 +129,7 @@
   refused.upstream_node->set_address(full_listener.address());
   refused.attempt("p3");
   refused.wait_for_ended(3);
-  CHECK(refused.connection_count == 0);
+  CHECK(refused.resources.connections == 0);
   CHECK(refused.counters.links_failed == 2);
   check_trace("peer_no_connection", refused.trace);
 }
@@ -316,7 +317,7 @@
   CHECK_FALSE(other.connections[0]->ended);
   other.connections[0]->send("p2 ACK - 3\r\ntwo\r\n");
   REQUIRE(run_until(test.upstream.scheduler, [&] { return other.connections[0]->ended; }));
-  CHECK(test.upstream.connection_count == 0);
+  CHECK(test.upstream.resources.connections == 0);
   check_trace("peer_moves", test.upstream.trace);
 }
 
@@ -332,7 +333,7 @@
   test.upstream.trace_comment("fifteen attempts fit on three connections of five each, no more");
   for (int i = 0; i < 17; ++i) test.upstream.attempt("q" + std::to_string(i));
   test.upstream.wait_for_ended(3);
-  CHECK(test.upstream.connection_count == 3);
+  CHECK(test.upstream.resources.connections == 3);
   check_trace("peer_limits", test.upstream.trace);
 }
 
@@ -470,3 +471,23 @@
   }
   CHECK(interleaved);
 }
+
+TEST_CASE("answers with an error at full speed do not grow the memory of expected late answers") {
+  NodeAndServer test;
+  test.upstream.limits.max_expected_late_answers = 50;
+  for (int number = 0; number < 200; ++number) {
+    const std::string id = "p" + std::to_string(number);
+    test.upstream.attempt(id);
+    CHECK(run_until(test.upstream.scheduler, [&] {
+      for (const auto& connection : test.server.connections)
+        if (connection->has_received("serve " + id + " ")) return true;
+      return false;
+    }));
+    for (const auto& connection : test.server.connections)
+      if (connection->has_received("serve " + id + " ")) connection->try_send(id + " EIO - 0\r\n\r\n");
+    test.upstream.wait_for_ended(number + 1);
+    CHECK(test.upstream.resources.expected_late_answers <= 51);
+  }
+  CHECK(test.upstream.counters.links_forgetting >= 3);
+  CHECK(test.server.connections.size() <= 6);
+}
