A request whose bytes arrive without a pause is refused when its time is up

Cause: request_read_timeout was checked only when a read timed out, and a read that finds data never does.

Evidence: the new test gives the director endless bytes for which it never has to wait. Now: 408 when the time is up, the other client is answered meanwhile.

--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -189,6 +189,12 @@
     if (closing_ && !busy_ && Scheduler::now() >= linger_until_) break;
     if (closing_ || (seen_valid_request_ && !parser_.in_message())) last_active_at_ = Scheduler::now();
     advance();
+    // Guards against a request that never ends although its bytes arrive without a pause.
+    if (!busy_ && !closing_ && !closed_ && parser_.in_message() &&
+        Scheduler::now() >= last_active_at_ + limits.request_read_timeout) {
+      set_close_reason(CloseReason::kUnfinished);
+      refuse(408);
+    }
   }
 }
 
--- a/tests/routing/client_connection_test.cpp
+++ b/tests/routing/client_connection_test.cpp
@@ -17,6 +17,7 @@
 #include "program/config.hpp"
 #include "routing/client_listener.hpp"
 #include "routing/director_actor.hpp"
+#include "routing/endless_input.hpp"
 
 using namespace hareramp;
 using namespace hareramp::routing;
@@ -118,6 +119,7 @@
     REQUIRE(::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT) ==
             static_cast<ssize_t>(bytes.size()));
   }
+  std::uint16_t local_port() const { return transport::Address::own(descriptor_)->port(); }
   void finish() { ::shutdown(descriptor_, SHUT_WR); }
   void close() {
     if (descriptor_ >= 0) ::close(std::exchange(descriptor_, -1));
@@ -451,6 +453,23 @@
   }
 }
 
+TEST_CASE("a request whose bytes never end is refused in time, and other clients are answered meanwhile") {
+  TestDirector director([](Limits& limits) { limits.request_read_timeout = 0.2; });
+  PlainClient client(director.listener->address());
+  director.wait_until([&] { return director.listener->clients() == 1; });
+  const EndlessInput endless_input(
+      client.local_port(),
+      "PUT /invoke/write/8/block-0 HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "1;" + std::string(15000, 'e') + "\r\nb\r\n");
+  client.send("P");  // wakes the director
+  PlainClient other(director.listener->address());
+  other.send("GET /_health HTTP/1.1\r\nHost: s\r\n\r\n");
+  director.wait_until([&] { return !other.received().empty(); });
+  CHECK(director.counters.clients_bad == 0);
+  director.wait_until([&] { return director.counters.clients_bad == 1; });
+  CHECK(director.counters.clients_unfinished == 1);
+}
+
 TEST_CASE("at the level debug the log names why each connection was closed, and how its request ended") {
   TestDirector director([](Limits& limits) { limits.request_read_timeout = 0.05; });
   director.log.configure(LogFormat::kJson, LogLevel::kDebug);
--- a/tests/routing/io_failures_test.cpp
+++ b/tests/routing/io_failures_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 
+#include "routing/endless_input.hpp"
 #include "routing/ends.hpp"
 
 using namespace hareramp;
@@ -93,6 +94,10 @@
 }
 
 extern "C" ssize_t recv(int descriptor, void* bytes, size_t size, int flags) {
+  const auto* const endless = hareramp::routing::EndlessInput::in_use;
+  if (endless && endless->is_read_from(descriptor))
+    return static_cast<ssize_t>((flags & MSG_PEEK) != 0 ? size
+                                                        : endless->read(static_cast<char*>(bytes), size));
   const auto real_recv = system_call<ssize_t(int, void*, size_t, int)>("recv");
   if (!is_to_node(descriptor)) return real_recv(descriptor, bytes, size, flags);
   if (interrupted_now()) return -1;
