Requests of all clients together stay within the memory that the settings give

Callers saw: with hundreds of clients that wrote at once, wrote slowly or stopped half way, a director passed its memory limit and was killed; what it had taken was lost.

Cause: read buffer, fields and body were bounded for each client (some 140 KB), not in sum, and the bounds did not follow memory_mb. Buffers were also larger than their data while they waited, and bodies doubled while they grew.

So whole requests, with the copies that are sent to nodes, pass the limit by themselves; half sent ones only together with others.

Change: policy/memory_budget divides what the rest of the process leaves of the limit between requests and answers; the rest is measured (heap in use), so lists and connections count whatever their size. A stated body length is charged before it is read. Where there is no room the partly read request that began first gets 503 and a close, then the new one; a request of up to 2 KB is never refused for it. Large blocks are kept apart from the heap, kept memory is returned.

--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -21,6 +21,7 @@
   COUNT(clients_idle, "client connections closed: no request for too long")                      \
   COUNT(clients_unfinished, "client connections closed: a request was not sent in time")         \
   COUNT(clients_evicted, "client connections closed: to make room for another client")           \
+  COUNT(clients_shed, "client connections closed: no memory for their request")                  \
   COUNT(clients_bad, "client connections closed: malformed or unsupported request")              \
   COUNT(accept_paused, "times that accepting paused because of a limit or an error")             \
   COUNT(health_asked, "health check requests")                                                   \
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -9,6 +9,9 @@
 
 struct Limits {
   // sizes, in bytes unless the name says otherwise
+  std::size_t memory = 0;  // that the process may use; 0: no limit
+  // Memory of each client's request that counts towards no budget.
+  std::size_t uncharged_request_bytes = 0;
   std::size_t max_head = 0;          // head of a request or response
   std::size_t max_request_body = 0;  // body of a write
   std::size_t max_read_ahead = 0;    // bytes buffered from a client whose request is still being answered
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -40,6 +40,8 @@
   const protocol::Json& permissions = settings["Permissions"];
 
   Limits limits;
+  limits.memory = static_cast<std::size_t>(memory);
+  limits.uncharged_request_bytes = 2 * kKb;  // a head of our clients, and what comes with it
   limits.max_head = 16 * kKb;                // our clients' are under 1 KB; a proxy may add to them
   limits.max_request_body = 64 * kKb;        // a write has at most 48,000 bytes
   limits.max_read_ahead = 32 * kKb;          // pipelined requests
@@ -49,9 +51,7 @@
   limits.max_answer_body = 512 * kKb;        // objects have at most 240,000 bytes
   limits.max_event = 1 * kMb;                // a full endpoint list of thousands of nodes
   limits.change_stream_read_size = 4 * kKb;  // some 40 purges: about 0.3 ms of work in a turn of the loop
-  // Memory budget for 192 MB and 1,024 descriptors with every client at its worst: buffers and request bodies
-  // of 341 clients 38 MB, answers waiting for slow clients 48 MB, answers to the requests that are then still
-  // open 82 MB (240,000 bytes each), buffers of connections to nodes 10 MB. Test runs of whole days use 7 MB.
+  // Each of these bounds holds for one request or answer; policy/memory_budget bounds their sum.
   limits.max_pending_answers = clamp_count(memory / 4, kMb, 1024.0 * kMb);
   // A deadline over ten times the longest of any request class, or a size that takes longer than that to
   // send, is not plausible for a request: a single such value would outweigh what is measured from all the
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -189,6 +189,7 @@
 }  // namespace
 
 int serve(const Config& config, const std::string& config_path, const std::string& operator_path, Log& log) {
+  keep_large_blocks_apart();
   signal(SIGPIPE, SIG_IGN);
   signal(SIGXFSZ, SIG_IGN);  // writing to a file at its size limit fails instead of ending the process
   const OperatorFile operator_file = load_operator_file(operator_path, config.memory);
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -44,6 +44,8 @@
   // Both are valid once the head has ended.
   bool keeps_alive() const { return keeps_alive_; }
   bool expects_continue() const { return expects_continue_; }
+  // Bytes of the body, or of the chunk, that are still to come.
+  std::size_t missing_body() const { return remaining_; }
   // The parser is within a message's head, or before its first byte.
   bool in_head() const { return stage_ == Stage::kStart || stage_ == Stage::kHeaders; }
   // A message has begun and not ended.
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -26,6 +26,9 @@
 // client's kernel.
 constexpr int kReceiveBufferBytes = 256 << 10;
 
+// Memory beside the data that the buffer of a partly read request keeps, in bytes.
+constexpr std::size_t kWaitingSlackBytes = 1 << 10;
+
 // Final answers for when memory, or time, for other answers is lacking.
 // Nothing of the request has run: the client may send it again.
 constexpr std::string_view kRejectedAnswer =
@@ -95,10 +98,11 @@
 ClientConnection::ClientConnection(ClientListener& listener, transport::Socket socket)
     : listener_(listener),
       socket_(std::move(socket)),
-      input_(listener.limits_.retained_buffer),
+      input_(listener.limits_.retained_buffer, kWaitingSlackBytes),
       parser_(HttpParser::Message::kRequest, {listener.limits_.max_head, listener.limits_.max_request_body}),
       mailbox_(listener.scheduler_),
       resumed_(listener.scheduler_),
+      request_memory_(listener.director_.memory_budget(), policy::MemoryUse::kRequests),
       last_active_at_(Scheduler::now()) {
   if (!listener.flows_) return;
   location_ = listener.flows_->location_of(socket_.descriptor());
@@ -157,7 +161,9 @@
 Task<> ClientConnection::read_until_closed() {
   const Limits& limits = listener_.limits_;
   while (!closed_) {
-    if (input_.size() >= limits.max_read_ahead && busy_) {  // reading pauses until the answer is written
+    // While a request is open, reading pauses until it is answered if much has been read ahead, or more than
+    // there is memory for.
+    if (busy_ && (input_.size() >= limits.max_read_ahead || !charge_request_memory(0))) {
       co_await resumed_.wait();
       continue;
     }
@@ -189,6 +195,7 @@
     if (closing_ && !busy_ && Scheduler::now() >= linger_until_) break;
     if (closing_ || (seen_valid_request_ && !parser_.in_message())) last_active_at_ = Scheduler::now();
     advance();
+    if (!busy_ && !closing_ && !closed_ && !charge_request_memory(0)) shed();
     // Guards against a request that never ends although its bytes arrive without a pause.
     if (!busy_ && !closing_ && !closed_ && parser_.in_message() &&
         Scheduler::now() >= last_active_at_ + limits.request_read_timeout) {
@@ -220,6 +227,8 @@
       case HttpParser::Step::kMore:
         return;
       case HttpParser::Step::kHead:
+        if (!charge_request_memory(parser_.missing_body())) return shed();
+        http_request_.body.reserve(parser_.missing_body());
         if (parser_.expects_continue() && input_.size() == 0)
           socket_.write_now("HTTP/1.1 100 Continue\r\n\r\n");
         break;
@@ -342,7 +351,7 @@
     forwarded_request_->client_gone = true;  // whether or not the request has reached the Director
   forwarded_request_.reset();
   awaiting_director_ = false;
-  input_.consume(input_.size());
+  free_request_memory();
   if (!socket_.write_now(text).ok()) return close_connection();
   begin_lingering_close();
   resumed_.notify();
@@ -422,6 +431,34 @@
   self->resumed_.notify();
 }
 
+bool ClientConnection::charge_request_memory(std::size_t additional_bytes) {
+  input_.release();
+  const std::size_t held = input_.capacity() + http_request_.body.capacity() +
+                           http_request_.target.capacity() + http_request_.cached_etag.capacity() +
+                           additional_bytes;
+  const std::size_t charged = held - std::min(held, listener_.limits_.uncharged_request_bytes);
+  if (charged > request_memory_.bytes() && !listener_.make_room(*this, charged - request_memory_.bytes()))
+    return false;
+  request_memory_.resize(charged);
+  return true;
+}
+
+void ClientConnection::free_request_memory() {
+  input_.consume(input_.size());
+  input_.release();
+  http_request_ = HttpRequest();
+  request_memory_.resize(0);
+}
+
+std::size_t ClientConnection::sheddable_bytes() const {
+  return busy_ || closing_ || closed_ ? 0 : request_memory_.bytes();
+}
+
+void ClientConnection::shed() {
+  set_close_reason(CloseReason::kLacksMemory);
+  answer_and_close(kRejectedAnswer);
+}
+
 bool ClientConnection::evict() {
   set_close_reason(CloseReason::kEvicted);
   if (!closing_ && parser_.in_message()) answer_and_close(kRejectedAnswer);
@@ -447,6 +484,7 @@
   if (reason == CloseReason::kIdle) ++counters.clients_idle;
   if (reason == CloseReason::kUnfinished) ++counters.clients_unfinished;
   if (reason == CloseReason::kEvicted) ++counters.clients_evicted;
+  if (reason == CloseReason::kLacksMemory) ++counters.clients_shed;
 }
 
 void ClientConnection::log_closed() const {
@@ -468,6 +506,7 @@
   } catch (...) {  // no memory: the Director is not informed, and the request ends at its deadline
     listener_.report_failure(std::current_exception());
   }
+  free_request_memory();
   flow_observer_ = nullptr;  // destroyed when the socket closes
   discard_unread(socket_);
   socket_.close();
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -53,6 +53,10 @@
     kShutdown,
     kLacksMemory
   };
+  // Gives up a partly read request, with a rejection, so that its memory is free for others.
+  void shed();
+  // Memory of a request that is being read, which shed() would free; 0 if there is none.
+  std::size_t sheddable_bytes() const;
   // Closes the connection unless a request is open or about to be read.
   void close_unless_busy();
 
@@ -72,6 +76,10 @@
   void body(std::string_view piece) override;
 
   void advance();
+  // Charges the memory that the requests being read take, beside additional_bytes that are about to be
+  // allocated for them. False: there is no room for it.
+  bool charge_request_memory(std::size_t additional_bytes);
+  void free_request_memory();
   void read_requests();
   void serve();
   bool serve_request();
@@ -110,6 +118,7 @@
   transport::Mailbox mailbox_;
   transport::Signal resumed_;
   HttpRequest http_request_;
+  policy::MemoryCharge request_memory_;  // of the buffer and the request being read
   RequestId open_request_id_;
   std::shared_ptr<protocol::ForwardedRequest>
       forwarded_request_;           // of the request that was handed to the Director; null: there is none
--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -122,6 +122,22 @@
   return first;
 }
 
+// Guards against clients that send their requests slowly or not to the end and together take the memory that
+// others need. A request that arrives without a pause is complete long before one that began earlier.
+bool ClientListener::make_room(const ClientConnection& client, std::size_t bytes) {
+  while (!director_.memory_budget().fits(policy::MemoryUse::kRequests, bytes)) {
+    std::shared_ptr<ClientConnection> first;
+    for (const auto& candidate : clients_)
+      if (candidate.get() != &client && candidate->sheddable_bytes() > 0 &&
+          candidate->idle_since() <= client.idle_since() &&
+          (!first || candidate->idle_since() < first->idle_since()))
+        first = candidate;
+    if (!first) return false;
+    first->shed();
+  }
+  return true;
+}
+
 void ClientListener::close() {
   listener_.close();
   const auto clients = clients_;
--- a/src/routing/client_listener.hpp
+++ b/src/routing/client_listener.hpp
@@ -39,6 +39,9 @@
   Seconds pause_after_failure(transport::Listener::Status failure);
   void add_client(transport::Socket socket);
   bool evict_client();
+  // Makes room in the memory budget for so many more bytes of the requests that this client is sending: those
+  // partly read requests that began earliest give way. False: there is none.
+  bool make_room(const ClientConnection& client, std::size_t bytes);
   std::shared_ptr<ClientConnection> next_to_evict() const;
   // Reports an exception that has been handled.
   void report_failure(const std::exception_ptr& failure) noexcept;
--- a/src/routing/client_request.cpp
+++ b/src/routing/client_request.cpp
@@ -31,8 +31,15 @@
     return c > 0x20 && c < 0x7f && c != ',' && c != '=' && c != '+';
   });
 }
+constexpr std::size_t kIdDigits = 16;
+// No class, object and part that exist have a longer target; what is cut off makes it none of them.
+constexpr std::size_t kMaxTargetBytes = 512;
+// A longer tag is ignored, as no tag at all: the whole copy is sent.
+constexpr std::size_t kMaxEtagBytes = 512;
+
 bool is_id(std::string_view text) {
-  return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
+  return text.size() == kIdDigits &&
+         text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
 constexpr std::string_view kTargetPrefix = "/invoke/";
@@ -70,7 +77,7 @@
   http_request_ = HttpRequest();
   http_request_.is_get = method == "GET";
   http_request_.is_put = method == "PUT";
-  http_request_.target = target;
+  http_request_.target = target.substr(0, kMaxTargetBytes);
 }
 
 void ClientConnection::header(std::string_view name, std::string_view value) {
@@ -79,7 +86,7 @@
   if (equal_ignoring_case(name, "x-correlation-id")) {
     request.malformed = request.malformed || !request.id.empty();
     request.has_id = is_id(value);
-    request.id = value;
+    request.id = value.substr(0, kIdDigits);
   } else if (equal_ignoring_case(name, "x-deadline-ms")) {
     request.malformed = request.malformed || request.has_deadline;
     request.has_deadline = read_bounded_number(value, limits.max_deadline * 1000, request.deadline_ms);
@@ -95,7 +102,7 @@
     if (value.starts_with("W/")) value.remove_prefix(2);
     if (value.size() >= 2 && value.front() == '"' && value.back() == '"')
       value = value.substr(1, value.size() - 2);
-    if (is_command_word(value))
+    if (value.size() <= kMaxEtagBytes && is_command_word(value))
       request.cached_etag = value;  // a list of tags, or *, is ignored: our clients do not send one
   }
 }
@@ -159,6 +166,8 @@
   forwarded_request->piece = target->part_digits;
   forwarded_request->cached = std::move(http_request_.cached_etag);
   forwarded_request->body = std::move(http_request_.body);
+  forwarded_request->body_memory = {listener_.director_.memory_budget(), policy::MemoryUse::kRequests};
+  forwarded_request->body_memory.resize(forwarded_request->body.size());
   if (flow_observer_) {
     request_class_ = listener_.flows_->request_class(forwarded_request->lane);
     forwarded_request->request_class_number = request_class_.value;
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -18,6 +18,9 @@
 // hold copies from before it.
 constexpr Seconds kPurgeAge = 0;
 
+// s: between two measurements of the memory that the process uses.
+constexpr Seconds kMemoryMeasureInterval = 0.1;
+
 // The names of Result in the log.
 constexpr std::array<std::string_view, 10> kResultNames = {
     "completed", "error",     "rejected", "timed_out", "unreachable",
@@ -131,6 +134,7 @@
       log_(log),
       names_(std::move(names)),
       flows_(flows),
+      memory_budget_(limits.memory, [this] { return process_memory_.in_use(); }),
       parent_kind_(settings["FamilyInfo.ShieldKind"]),
       origin_kind_(settings["FamilyInfo.OriginKind"]),
       mailbox_(scheduler),
@@ -145,6 +149,7 @@
 void DirectorActor::start() {
   scheduler_.spawn(serve_requests(*this));
   scheduler_.spawn(serve_changes(*this));
+  scheduler_.spawn(measure_memory(*this));
 }
 
 Task<> DirectorActor::serve_requests(DirectorActor& self) {
@@ -158,6 +163,13 @@
     self.scheduler_.run_guarded(call);
   }
 }
+Task<> DirectorActor::measure_memory(DirectorActor& self) {
+  for (;;) {
+    self.memory_budget_.measure();
+    if (self.memory_budget_.should_trim(resident_memory())) return_free_memory();
+    co_await self.scheduler_.sleep_until(Scheduler::now() + kMemoryMeasureInterval);
+  }
+}
 Task<> DirectorActor::serve_changes(DirectorActor& self) { co_await self.change_mailbox_.serve(); }
 
 // Extends a hold only if that makes it longer by more than kMinHoldExtension. Guards against a machine so
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -12,8 +12,10 @@
 #include "base/counters.hpp"
 #include "base/limits.hpp"
 #include "base/log.hpp"
+#include "base/process_memory.hpp"
 #include "distribution/change_receiver.hpp"
 #include "policy.hpp"
+#include "policy/memory_budget.hpp"
 #include "policy/start_times.hpp"
 #include "protocol/events.hpp"
 #include "protocol/lines.hpp"
@@ -49,6 +51,7 @@
 
   void start();
   std::size_t open_requests() const { return open_requests_; }
+  policy::MemoryBudget& memory_budget() { return memory_budget_; }
 
   // To be called when the scheduler's turn came very late, as after the process was suspended. Until
   // hold_until only changes reach the Director, and requests wait. Guards against attempts that are sent by
@@ -114,6 +117,7 @@
   void count_result(Result result);
   static transport::Task<> serve_requests(DirectorActor& self);
   static transport::Task<> serve_changes(DirectorActor& self);
+  static transport::Task<> measure_memory(DirectorActor& self);
 
   // Actions, called by the Director from within its own methods.
   void attempt(const RequestId& request, const NodeId& node, const FillOptions& fill,
@@ -131,7 +135,9 @@
   Counters& counters_;
   Log& log_;
   ConfiguredNames names_;
-  flow::Exporter* const flows_;            // null: flows are not exported
+  flow::Exporter* const flows_;  // null: flows are not exported
+  ProcessMemory process_memory_;
+  policy::MemoryBudget memory_budget_;
   std::string parent_kind_, origin_kind_;  // the indexes of two kinds, as text, as in the settings
   transport::Clock clock_;
   transport::Mailbox mailbox_, change_mailbox_;  // change_mailbox_ is never held
--- a/src/transport/buffer.hpp
+++ b/src/transport/buffer.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstring>
+#include <limits>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -15,6 +16,9 @@
  public:
   // An empty buffer retains at most this many bytes of memory.
   explicit Buffer(std::size_t retained_bytes) : retained_bytes_(retained_bytes) {}
+  // The same; while it waits for more data, it has at most waiting_slack bytes of memory beside the data.
+  Buffer(std::size_t retained_bytes, std::size_t waiting_slack)
+      : retained_bytes_(retained_bytes), waiting_slack_(waiting_slack) {}
 
   std::string_view view() const { return {bytes_.get() + begin_, end_ - begin_}; }
   std::size_t size() const { return end_ - begin_; }
@@ -44,15 +48,23 @@
     begin_ = end_ = 0;
     if (capacity_ > retained_bytes_) release();
   }
-  // Frees the memory of an empty buffer: a connection that waits long for data needs none until it arrives.
+  // Frees the memory that a connection does not need while it waits for data: all of an empty buffer, and
+  // what is more than the slack beside the data of another.
   void release() {
-    if (begin_ < end_) return;
-    bytes_.reset();
-    begin_ = end_ = capacity_ = 0;
+    const std::size_t bytes = size();
+    if (bytes > 0 && capacity_ - bytes <= waiting_slack_) return;
+    std::unique_ptr<char[]> smaller;
+    if (bytes > 0) {
+      smaller = std::make_unique_for_overwrite<char[]>(bytes);
+      std::memcpy(smaller.get(), bytes_.get() + begin_, bytes);
+    }
+    bytes_ = std::move(smaller);
+    capacity_ = end_ = bytes;
+    begin_ = 0;
   }
 
  private:
-  std::size_t retained_bytes_;
+  std::size_t retained_bytes_, waiting_slack_ = std::numeric_limits<std::size_t>::max();
   std::unique_ptr<char[]> bytes_;
   std::size_t capacity_ = 0, begin_ = 0, end_ = 0;
 };
--- a/tests/routing/client_connection_test.cpp
+++ b/tests/routing/client_connection_test.cpp
@@ -470,6 +470,32 @@
   CHECK(director.counters.clients_unfinished == 1);
 }
 
+TEST_CASE(
+    "memory for requests is used up: the one that began first gives way, later ones and reads are served") {
+  TestDirector director([](Limits& limits) { limits.memory = 2 << 20; });  // the least budget: two writes
+  const auto half_write = [](const std::string& id) {
+    const std::string head = put(id);
+    return head.substr(0, head.find("Content-Length")) + "Content-Length: 48000\r\n\r\n" +
+           std::string(24000, 'b');
+  };
+  PlainClient first(director.listener->address()), second(director.listener->address());
+  first.send(half_write(kId1));
+  director.wait_until(
+      [&] { return director.actor->memory_budget().charged(policy::MemoryUse::kRequests) > 0; });
+  second.send(half_write(kId2));
+  director.wait_until([&] { return director.counters.clients_shed == 1; });
+  PlainClient reading(director.listener->address());
+  reading.send(get(kId3));
+  director.wait_for_attempts(kId3, 1);
+  second.send(std::string(24000, 'b'));
+  director.wait_for_attempts(kId2, 1);
+  director.nodes_answer(kId2, "ACK - 2\r\nok");
+  director.wait_until([&] { return second.received().ends_with("ok"); });
+  check_answered_and_ended(director, first, "503");
+  CHECK(director.attempts_received(kId1) == 0);
+  CHECK(director.actor->memory_budget().charged(policy::MemoryUse::kRequests) == 0);
+}
+
 TEST_CASE("at the level debug the log names why each connection was closed, and how its request ended") {
   TestDirector director([](Limits& limits) { limits.request_read_timeout = 0.05; });
   director.log.configure(LogFormat::kJson, LogLevel::kDebug);
