Answers stay within the memory that the settings give, also while clients read slowly

Callers saw: with hundreds of clients that read slowly a director passed its memory limit and was killed.

Cause: answers were bounded by 512 KB for each connection to a node (651 of them) and, once complete, by a quarter of the memory at the moment in which a further request is read; what was already on its way came on top. Also a place of the same mistake: nodes that stop halfway through answers hold as much.

Change: an answer is charged to the budget for its whole length before the rest of it is read; where it does not fit, it stays with its node (counter answers_paused), and the attempt's own limits apply. The charge goes with the bytes until the client has taken them. While there is no room for a further answer, those that have been written for over 1 s are aborted, the oldest first, and new requests are rejected as before (turned_back). One answer is always read.

--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -45,6 +45,7 @@
   COUNT(links_forgetting, "connections to nodes retired: too many late answers to expect")       \
   COUNT(links_stalled, "connections to nodes that stalled in the middle of an answer")           \
   COUNT(moved_on, "unsent attempts moved from an ended connection to another one")               \
+  COUNT(answers_paused, "answers of nodes that had to wait for memory before they were read")    \
   COUNT(late_answers, "answers to attempts that had already ended")                              \
   COUNT(bad_answers, "malformed answers from nodes")                                             \
   COUNT(unknown_fields, "unknown fields in answers of nodes and in the change stream")           \
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -58,6 +58,8 @@
   double accept_retry_delay = 0;
   // For a client to read an answer.
   double answer_write_timeout = 0;
+  // The same while there is no memory for the answers to others.
+  double min_answer_write_time = 0;
   // For a client to notice that its connection is being closed, after the last bytes that it sent.
   double linger_timeout = 0;
   // The longest time that a closing connection lingers, however much more the client sends.
--- a/src/policy/memory_budget.cpp
+++ b/src/policy/memory_budget.cpp
@@ -50,6 +50,7 @@
   const std::size_t change = charged_now > charged_when_measured_ ? charged_now - charged_when_measured_
                                                                   : charged_when_measured_ - charged_now;
   if (change > share_of(limit_, kMeasureAfterShare)) measure();
+  if (charged(use) == 0) return true;  // one request and one answer are always served
   const std::size_t available = budget();
   return charged_now <= available && charged(use) + bytes <= share_of(available, kMaxShareOfOneUse);
 }
@@ -67,9 +68,11 @@
 }
 
 bool MemoryCharge::try_resize(std::size_t bytes) {
-  if (budget_ && bytes > bytes_ && !budget_->fits(use_, bytes - bytes_)) return false;
-  resize(bytes);
-  return true;
+  const std::size_t before = bytes_;
+  resize(0);
+  const bool fits = !budget_ || bytes <= before || budget_->fits(use_, bytes);
+  resize(fits ? bytes : before);
+  return fits;
 }
 
 void MemoryCharge::swap(MemoryCharge& other) noexcept {
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -94,6 +94,7 @@
   limits.first_request_grace = 0.05;    // several times the network delay from a client
   limits.accept_retry_delay = 0.01;     // a client waits no longer than its network delay
   limits.answer_write_timeout = 10;     // longer than any client waits
+  limits.min_answer_write_time = 1;     // an answer of usual size over a slow path
   limits.linger_timeout = 0.25;         // several round trips to a client
   limits.max_linger = 1.5;              // 60 MB at full speed
   limits.deadline_margin = 0.03;        // network delay to the client (12 ms) and a late turn of the loop
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -277,6 +277,7 @@
   post_answer(request, kFailedAnswer, [this, content = std::move(content)]() mutable {
     std::string extra_headers;
     if (!content.etag.empty()) extra_headers = "ETag: \"" + content.etag + "\"\r\n";
+    answer_memory_ = std::move(content.memory);
     answer(content.same_copy ? 304 : 200, extra_headers, std::move(content.bytes), ipfix::Outcome::kCompleted,
            content.detail);
   });
@@ -402,26 +403,20 @@
     co_return;
   }
   bytes = std::string();
-  self->listener_.pending_answer_bytes_ += size;
+  self->listener_.pending_answer_bytes_ += self->pending_answer_bytes_ = size;
   IoResult io = self->socket_.write_now(head);
   if (io.status == IoStatus::kTimedOut) {
+    self->writing_since_ = Scheduler::now();
     try {
       io = co_await self->socket_.write(std::string_view(head).substr(io.bytes), until);
     } catch (...) {  // handled as a broken connection: the client can tell that the answer is incomplete
       io.status = IoStatus::kBroken;
     }
   }
-  self->listener_.pending_answer_bytes_ -= size;
   if (self->closed_) co_return;
+  self->free_answer_memory();
   if (!io.ok()) {
-    // Guards against a client that does not read. By the reset it can tell that the answer is incomplete.
-    if (io.status == IoStatus::kTimedOut) {
-      ++self->listener_.counters_.clients_slow;
-      self->set_close_reason(CloseReason::kSlowReader);
-    }
-    self->flow_observer_ = nullptr;
-    self->socket_.abort();
-    self->close_connection();
+    self->abort_answer(io.status == IoStatus::kTimedOut ? CloseReason::kSlowReader : CloseReason::kByClient);
     co_return;
   }
   self->last_active_at_ = Scheduler::now();
@@ -450,6 +445,12 @@
   request_memory_.resize(0);
 }
 
+void ClientConnection::free_answer_memory() {
+  listener_.pending_answer_bytes_ -= std::exchange(pending_answer_bytes_, 0);
+  answer_memory_ = {};
+  writing_since_ = transport::kNever;
+}
+
 std::size_t ClientConnection::sheddable_bytes() const {
   return busy_ || closing_ || closed_ ? 0 : request_memory_.bytes();
 }
@@ -459,6 +460,14 @@
   answer_and_close(kRejectedAnswer);
 }
 
+// Guards against a client that does not read. By the reset it can tell that the answer is incomplete.
+void ClientConnection::abort_answer(CloseReason reason) {
+  set_close_reason(reason);
+  flow_observer_ = nullptr;
+  socket_.abort();
+  close_connection();
+}
+
 bool ClientConnection::evict() {
   set_close_reason(CloseReason::kEvicted);
   if (!closing_ && parser_.in_message()) answer_and_close(kRejectedAnswer);
@@ -483,6 +492,7 @@
   Counters& counters = listener_.counters_;
   if (reason == CloseReason::kIdle) ++counters.clients_idle;
   if (reason == CloseReason::kUnfinished) ++counters.clients_unfinished;
+  if (reason == CloseReason::kSlowReader) ++counters.clients_slow;
   if (reason == CloseReason::kEvicted) ++counters.clients_evicted;
   if (reason == CloseReason::kLacksMemory) ++counters.clients_shed;
 }
@@ -507,6 +517,7 @@
     listener_.report_failure(std::current_exception());
   }
   free_request_memory();
+  free_answer_memory();
   flow_observer_ = nullptr;  // destroyed when the socket closes
   discard_unread(socket_);
   socket_.close();
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -31,16 +31,6 @@
   void rejected(const RequestId& request, Seconds retry_after) override;
   void failed(const RequestId& request) override;
 
-  // Which connections are closed first to make room for another: the lowest value first, kNotEvictable never.
-  enum class EvictionPriority { kLingering, kNoRequest, kPartialRequest, kIdle, kNotEvictable };
-  EvictionPriority eviction_priority(Seconds now) const;
-  Seconds idle_since() const { return last_active_at_; }
-  // Whether the client has acknowledged everything that was sent to it, and no request waits in the socket of
-  // which nothing has been read.
-  bool may_be_evicted() const;
-  // Closes the connection, on which no request is open, to make room for another one; a partly read request
-  // is answered 503. True: its descriptor is free. False: it will be once the client has received its answer.
-  bool evict();
   // Why the director closed a connection, for the log.
   enum class CloseReason {
     kByClient,     // the client has closed or reset it
@@ -53,10 +43,24 @@
     kShutdown,
     kLacksMemory
   };
+  // Which connections are closed first to make room for another: the lowest value first, kNotEvictable never.
+  enum class EvictionPriority { kLingering, kNoRequest, kPartialRequest, kIdle, kNotEvictable };
+  EvictionPriority eviction_priority(Seconds now) const;
+  Seconds idle_since() const { return last_active_at_; }
+  // Whether the client has acknowledged everything that was sent to it, and no request waits in the socket of
+  // which nothing has been read.
+  bool may_be_evicted() const;
+  // Closes the connection, on which no request is open, to make room for another one; a partly read request
+  // is answered 503. True: its descriptor is free. False: it will be once the client has received its answer.
+  bool evict();
   // Gives up a partly read request, with a rejection, so that its memory is free for others.
   void shed();
   // Memory of a request that is being read, which shed() would free; 0 if there is none.
   std::size_t sheddable_bytes() const;
+  // Since when an answer is being written to a client that has not taken all of it; kNever: none is.
+  Seconds writing_since() const { return writing_since_; }
+  // Resets the connection in the middle of the answer that is being written.
+  void abort_answer(CloseReason reason);
   // Closes the connection unless a request is open or about to be read.
   void close_unless_busy();
 
@@ -80,6 +84,7 @@
   // allocated for them. False: there is no room for it.
   bool charge_request_memory(std::size_t additional_bytes);
   void free_request_memory();
+  void free_answer_memory();
   void read_requests();
   void serve();
   bool serve_request();
@@ -118,6 +123,9 @@
   transport::Mailbox mailbox_;
   transport::Signal resumed_;
   HttpRequest http_request_;
+  policy::MemoryCharge answer_memory_;    // of the answer that is being written
+  std::size_t pending_answer_bytes_ = 0;  // the same
+  Seconds writing_since_ = transport::kNever;
   policy::MemoryCharge request_memory_;  // of the buffer and the request being read
   RequestId open_request_id_;
   std::shared_ptr<protocol::ForwardedRequest>
--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -16,6 +16,9 @@
 // reach its client before the descriptor is free, which takes a round trip.
 constexpr std::size_t kMaxRefusalsPerEviction = 8;
 
+// s: between two checks for answers that are read too slowly while memory is short.
+constexpr Seconds kSlowAnswerInterval = 0.1;
+
 // The pause between a failed accept and the next one: 2 ms, doubled with each further failure up to 0.256 s.
 constexpr Seconds kAcceptPause = 0.002;
 constexpr int kAcceptPauseDoublings = 7;
@@ -35,7 +38,10 @@
 
 ClientListener::~ClientListener() = default;
 
-void ClientListener::start() { scheduler_.spawn(accept_connections(*this)); }
+void ClientListener::start() {
+  scheduler_.spawn(accept_connections(*this));
+  scheduler_.spawn(abort_slow_answers(*this));
+}
 
 // At the limit one more connection is accepted and held, unread, until there is room for it; the others wait
 // in the backlog.
@@ -138,6 +144,33 @@
   return true;
 }
 
+Task<> ClientListener::abort_slow_answers(ClientListener& self) {
+  for (;;) {
+    co_await self.scheduler_.sleep_until(Scheduler::now() + kSlowAnswerInterval);
+    self.make_room_for_answer();
+  }
+}
+
+bool ClientListener::lacks_answer_memory() const {
+  return pending_answer_bytes_ > limits_.max_pending_answers ||
+         !director_.memory_budget().fits(policy::MemoryUse::kAnswers, limits_.max_answer_body);
+}
+
+// Guards against clients that read slowly and together take the memory that the answers to others need.
+bool ClientListener::make_room_for_answer() {
+  while (lacks_answer_memory()) {
+    const auto first = std::min_element(
+        clients_.begin(), clients_.end(),
+        [](const auto& one, const auto& other) { return one->writing_since() < other->writing_since(); });
+    if (first == clients_.end() ||
+        (*first)->writing_since() > Scheduler::now() - limits_.min_answer_write_time)
+      return false;
+    const std::shared_ptr<ClientConnection> slow = *first;
+    slow->abort_answer(ClientConnection::CloseReason::kSlowReader);
+  }
+  return true;
+}
+
 void ClientListener::close() {
   listener_.close();
   const auto clients = clients_;
--- a/src/routing/client_listener.hpp
+++ b/src/routing/client_listener.hpp
@@ -43,6 +43,11 @@
   // partly read requests that began earliest give way. False: there is none.
   bool make_room(const ClientConnection& client, std::size_t bytes);
   std::shared_ptr<ClientConnection> next_to_evict() const;
+  static transport::Task<> abort_slow_answers(ClientListener& self);
+  bool lacks_answer_memory() const;
+  // While there is no memory for a further answer: aborts those that have been written for longest, if that
+  // is longer than limits.min_answer_write_time. True: there is room now.
+  bool make_room_for_answer();
   // Reports an exception that has been handled.
   void report_failure(const std::exception_ptr& failure) noexcept;
   void remove_client(ClientConnection& client);
--- a/src/routing/client_request.cpp
+++ b/src/routing/client_request.cpp
@@ -149,7 +149,7 @@
 
   // Guards against clients that send requests and do not read the answers: these must not fill the memory.
   // Nothing of this request has run.
-  if (listener_.pending_answer_bytes_ > listener_.limits_.max_pending_answers) {
+  if (!listener_.make_room_for_answer()) {
     listener_.director_.count_rejected_at_limit();
     answer(503, "", "", ipfix::Outcome::kRejected);
     return true;
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -139,6 +139,7 @@
       origin_kind_(settings["FamilyInfo.OriginKind"]),
       mailbox_(scheduler),
       change_mailbox_(scheduler) {
+  upstream_resources_.memory_budget = &memory_budget_;
   Actions& actions = *this;
   director_ = std::make_unique<Director>(clock_.now(), std::move(settings), seed, actions,
                                          DirectorLimits{.max_tracked_parts = limits.max_tracked_parts});
--- a/src/routing/upstream_node.cpp
+++ b/src/routing/upstream_node.cpp
@@ -14,7 +14,8 @@
 using transport::Task;
 
 namespace {
-constexpr Seconds kWriteRetryDelay = 0.01;  // s: after a failed write on a connection that is still up
+constexpr Seconds kWriteRetryDelay = 0.01;   // s: after a failed write on a connection that is still up
+constexpr Seconds kMemoryRetryDelay = 0.01;  // s: while there is no memory for an answer
 }  // namespace
 
 class UpstreamNode::UpstreamConnection : public protocol::AnswerHandler {
@@ -24,6 +25,7 @@
   UpstreamConnection(UpstreamNode& owner, const Limits& limits)
       : node(owner),
         read_buffer(limits.retained_buffer),
+        read_memory(owner.answer_memory()),
         late_answers(owner.resources_.expected_late_answers),
         parser(limits.max_answer_line, limits.max_answer_body) {}
 
@@ -48,8 +50,9 @@
       late_answers.expect(request, Scheduler::now());
       node.limit_late_answers();
     }
-    node.end_attempt(weak_self.lock(), request, result, detail, waited, report,
-                     Content{same_copy, std::string(tag), std::string(body), detail});
+    Content content{same_copy, std::string(tag), std::string(body), detail, node.answer_memory()};
+    content.memory.resize(body.size());
+    node.end_attempt(weak_self.lock(), request, result, detail, waited, report, std::move(content));
   }
 
   void unknown_field(std::string_view) override { ++node.counters_.unknown_fields; }
@@ -66,6 +69,7 @@
   transport::Socket socket;
   flow::FlowObserver* flow_observer = nullptr;  // owned by the socket; null once that is closed
   transport::Buffer read_buffer;
+  policy::MemoryCharge read_memory;  // of the answer in read_buffer
   LateAnswers late_answers;
   protocol::AnswerParser parser;
   std::deque<UpstreamMessage> outgoing;
@@ -497,6 +501,26 @@
   self->close_connection(connection);
 }
 
+policy::MemoryCharge UpstreamNode::answer_memory() const {
+  if (!resources_.memory_budget) return {};
+  return {*resources_.memory_budget, policy::MemoryUse::kAnswers};
+}
+
+// Guards against answers that all nodes send at once, or stop halfway, while clients have not taken those
+// before. An answer that does not fit stays with its node; the attempt's own time limits apply meanwhile.
+Task<bool> UpstreamNode::wait_for_memory(ConnectionPointer connection) {
+  const std::size_t missing = connection->parser.missing_bytes();
+  if (missing == 0 || connection->read_memory.try_resize(connection->read_buffer.size() + missing))
+    co_return true;
+  ++counters_.answers_paused;
+  while (connection->state == UpstreamConnection::State::kUp) {
+    co_await scheduler_.sleep_until(Scheduler::now() + kMemoryRetryDelay);
+    connection->last_read_at = Scheduler::now();  // the pause is not the node's
+    if (connection->read_memory.try_resize(connection->read_buffer.size() + missing)) break;
+  }
+  co_return connection->state == UpstreamConnection::State::kUp;
+}
+
 Task<> UpstreamNode::connect_and_read(ConnectionPointer connection) {
   const Seconds until = Scheduler::now() + limits_.connect_timeout;
   transport::ConnectResult connected = co_await transport::connect(scheduler_, address_, until);
@@ -523,6 +547,7 @@
   start_writing(connection);
   handle_idle(connection);
   while (connection->state == UpstreamConnection::State::kUp) {
+    if (!co_await wait_for_memory(connection)) break;
     const std::size_t read_room = std::max(limits_.read_size, connection->parser.missing_bytes());
     // Guards against an answer that stops halfway: nothing after it on this connection could be read any
     // more.
@@ -537,6 +562,7 @@
     std::size_t consumed = 0;
     const bool parsed = connection->parser.parse(connection->read_buffer.view(), consumed, *connection);
     connection->read_buffer.consume(consumed);
+    connection->read_memory.resize(connection->read_buffer.size());
     if (parsed) continue;
     ++counters_.bad_answers;
     break;
--- a/src/routing/upstream_node.hpp
+++ b/src/routing/upstream_node.hpp
@@ -26,6 +26,7 @@
   bool same_copy = false;  // the client's copy is still valid; there are no bytes
   std::string etag, bytes;
   AnswerDetail detail = AnswerDetail::kNone;
+  policy::MemoryCharge memory = {};  // of the bytes
 };
 
 class AttemptObserver {
@@ -42,8 +43,9 @@
 
 // What the connections to all nodes share.
 struct UpstreamResources {
-  std::size_t connections = 0;            // open or being set up
-  std::size_t expected_late_answers = 0;  // see LateAnswers
+  std::size_t connections = 0;                    // open or being set up
+  std::size_t expected_late_answers = 0;          // see LateAnswers
+  policy::MemoryBudget* memory_budget = nullptr;  // null: no limit
 };
 
 class UpstreamNode : public std::enable_shared_from_this<UpstreamNode> {
@@ -112,6 +114,9 @@
   void set_idle_timer(const ConnectionPointer& connection, Seconds until);
   static transport::Task<> run_connection(std::shared_ptr<UpstreamNode> self, ConnectionPointer connection);
   transport::Task<> connect_and_read(ConnectionPointer connection);
+  // Waits until there is memory for the answer that is being read. False: the connection has closed.
+  transport::Task<bool> wait_for_memory(ConnectionPointer connection);
+  policy::MemoryCharge answer_memory() const;
   static transport::Task<> write_when_ready(std::shared_ptr<UpstreamNode> self, ConnectionPointer connection);
 
   transport::Scheduler& scheduler_;
--- a/tests/policy/memory_budget_test.cpp
+++ b/tests/policy/memory_budget_test.cpp
@@ -61,3 +61,13 @@
   second = MemoryCharge();
   CHECK(budget.charged(MemoryUse::kAnswers) == 0);
 }
+
+TEST_CASE("one answer is always read, also one that is larger than the budget") {
+  MemoryBudget budget(kMb, [] { return 5 * kMb; });
+  MemoryCharge first(budget, MemoryUse::kAnswers), second(budget, MemoryUse::kAnswers);
+  first.resize(16000);
+  CHECK(first.try_resize(240000));
+  CHECK_FALSE(second.try_resize(240000));
+  first.resize(0);
+  CHECK(second.try_resize(240000));
+}
--- a/tests/routing/upstream_node_test.cpp
+++ b/tests/routing/upstream_node_test.cpp
@@ -491,3 +491,27 @@
   CHECK(test.upstream.counters.links_forgetting >= 3);
   CHECK(test.server.connections.size() <= 6);
 }
+
+TEST_CASE("answers that nodes send while there is no memory for them wait, and are read when there is") {
+  NodeAndServer test;
+  policy::MemoryBudget budget(1 << 20, [] { return std::size_t{2 << 20}; });  // the least: one answer
+  test.upstream.resources.memory_budget = &budget;
+  test.upstream.limits.max_connections_per_node = 2;
+  test.upstream.limits.answer_stall_timeout = 0.05;
+  policy::MemoryCharge held_by_a_slow_client(budget, policy::MemoryUse::kAnswers);
+  held_by_a_slow_client.resize(200000);
+  const auto answer = [](const std::string& id) {
+    return id + " ACK sum=t 200000\r\n" + std::string(200000, 'x') + "\r\n";
+  };
+  test.upstream.attempt("p1");
+  test.wait_for_received("serve p1");
+  test.server.connections[0]->try_send(answer("p1"));
+  CHECK(run_until(test.upstream.scheduler, [&] { return test.upstream.counters.answers_paused == 1; }));
+  wait_for(test.upstream.scheduler, 0.2);
+  CHECK(test.upstream.ended_count == 0);
+  CHECK(budget.charged(policy::MemoryUse::kAnswers) < 250000);
+  held_by_a_slow_client.resize(0);
+  test.upstream.wait_for_ended(1);
+  CHECK(test.upstream.trace.find("p1/0 at c1: completed") != std::string::npos);
+  CHECK(test.upstream.counters.links_stalled == 0);
+}
