A write whose client has left does not run again when its id comes again

Callers saw: an id ran twice when it came again after its client had left.

Cause: an id was compared with open requests only. When its client has left and the attempt was cancelled, which may have run, nothing remembers the id; a request that brings it again is sent to a node again.

The policy test failed before with an attempt in place of a failure, for a client that left and for one that was answered.

Change: policy/run_history remembers the ids of requests that may have run and whose class may not simply be repeated; a request that brings one again fails at once and is sent to no node. Rejected requests and reads are not remembered.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -24,6 +24,7 @@
   double max_request_kb = 0;                // size that a request may declare, in KB
   std::size_t max_pending_answers = 0;  // bytes of answers not yet read by slow clients, all clients together
   // counts
+  std::size_t max_run_ids = 0;                  // ids of requests that may have run and must not run again
   std::size_t max_tracked_parts = 0;            // parts of objects remembered as requested recently
   std::size_t max_clients = 0;                  // client connections
   std::size_t max_node_connections = 0;         // connections to nodes, all nodes together
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,6 +31,7 @@
 #include "policy/cache_group.hpp"
 #include "policy/copy_age.hpp"
 #include "policy/part_usage.hpp"
+#include "policy/run_history.hpp"
 
 namespace hareramp {
 namespace {
@@ -282,7 +283,8 @@
         director_hash(mix(mix(seed))),
         now(start),
         director_started_at(start),
-        part_usage(limits.max_tracked_parts, kHotObjectSpan) {
+        part_usage(limits.max_tracked_parts, kHotObjectSpan),
+        run_history(limits.max_run_ids) {
     for (int i = 0; i < number_setting("RequestClasses.count", 1); ++i) {
       const std::string at = "RequestClasses." + std::to_string(i) + ".";
       RequestClass request_class;
@@ -991,7 +993,11 @@
   bool is_write(const Request& request) { return request.write || request_class_of(request).goes_to_origin; }
 
   bool is_finished(const Request& request) { return request.closed && request.in_flight_count() == 0; }
-  void erase_request(Request& request) { requests.erase(RequestId(request.id)); }
+  void erase_request(Request& request) {
+    if (request.may_have_run && request_class_of(request).effect != Effect::kRetryable)
+      run_history.remember(request.id);
+    requests.erase(RequestId(request.id));
+  }
 
   bool has_open_attempts(const Request& request) {
     if (!request.closed || !may_cancel) return false;
@@ -1384,6 +1390,7 @@
 
   std::map<RequestId, Request> requests;
   policy::PartUsage part_usage;
+  policy::RunHistory run_history;
   policy::CopyAge copy_age{0};  // replaced when the settings are read
 };
 
@@ -1471,6 +1478,7 @@
                                ObjectId object, PartNumber part, GroupId group, Seconds deadline,
                                double size_kb, bool, bool is_write) {
   State& state = state_->advance_to(now);
+  if (state.run_history.may_have_run(id)) return state.actions.fail(id);
   state.recover_origin_fraction();
   Request request;
   request.id = id, request.request_class =
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -106,6 +106,7 @@
 // Bounds on what a director remembers; they follow the memory that its process may use.
 struct DirectorLimits {
   std::size_t max_tracked_parts = 1 << 20;  // parts of objects remembered as requested recently
+  std::size_t max_run_ids = 1 << 16;        // ids of requests that may have run and must not run again
 };
 
 // One director. Every call passes the current time, which never decreases.
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -70,6 +70,7 @@
   limits.max_tracked_parts = clamp_count(memory / kKb, 1024, 1 << 24);
 
   limits.max_clients = clamp_count(sockets / 3, 1, 100000);
+  limits.max_run_ids = clamp_count(memory / (4 * kKb), 1024, 1 << 22);  // about 60 bytes each
   // 32 descriptors are reserved for the log, epoll, signals, the listener and the change stream, which use 8.
   limits.max_node_connections = clamp_count(sockets - sockets / 3 - 32, 1, 100000);
   // One for each attempt in flight, as far as the descriptors suffice: 17 with 256 descriptors, about 80 with
--- a/src/protocol/lines.hpp
+++ b/src/protocol/lines.hpp
@@ -15,7 +15,7 @@
 // The parts of a client's request that are forwarded to the nodes unchanged.
 struct ForwardedRequest {
   std::string lane, name, piece, cached, body;
-  policy::MemoryCharge body_memory;
+  policy::MemoryCharge body_memory = {};
   std::uint32_t request_class_number = 0, location_number = 0;  // only for flow records; not sent
   // Set by the client's connection once the client has closed, reset or left it; not sent. From then on no
   // attempt for the request starts.
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -142,7 +142,7 @@
   upstream_resources_.memory_budget = &memory_budget_;
   Actions& actions = *this;
   director_ = std::make_unique<Director>(clock_.now(), std::move(settings), seed, actions,
-                                         DirectorLimits{.max_tracked_parts = limits.max_tracked_parts});
+                                         DirectorLimits{limits.max_tracked_parts, limits.max_run_ids});
 }
 
 DirectorActor::~DirectorActor() = default;
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -863,3 +863,35 @@
   fixture.request("taken", 4, 0, 50);
   check_trace("later_start", fixture.take_trace());
 }
+
+TEST_CASE("a write whose client has left does not run again when its id comes again") {
+  for (const bool answered : {false, true}) {
+    DirectorFixture fixture;
+    fixture.list(ListCompleteness::kFull, "c1 c2 P1 O");
+    fixture.request("w1", 7, 2);
+    if (!answered) fixture.director->client_disconnected(fixture.now, {"w1"});
+    fixture.end_attempt("w1", 0, answered ? Result::kCompleted : Result::kCancelled);
+    fixture.take_trace();
+    fixture.advance(1);
+    fixture.request("w1", 7, 2);
+    const std::string trace = fixture.take_trace();
+    CHECK(trace.find("w1: fail") != std::string::npos);
+    CHECK(trace.find("w1: attempt") == std::string::npos);
+  }
+}
+
+TEST_CASE("an id comes again after a rejection, or for a read: it is served") {
+  DirectorFixture fixture;
+  fixture.list(ListCompleteness::kFull, "c1 c2 P1 O");
+  fixture.request("w1", 7, 2);
+  fixture.director->client_disconnected(fixture.now, {"w1"});
+  fixture.end_attempt("w1", 0, Result::kRejected);
+  fixture.request("r1", 7, 0);
+  fixture.end_attempt("r1", 0, Result::kCompleted);
+  fixture.take_trace();
+  fixture.request("w1", 7, 2);
+  fixture.request("r1", 7, 0);
+  const std::string trace = fixture.take_trace();
+  CHECK(trace.find("w1: attempt") != std::string::npos);
+  CHECK(trace.find("r1: attempt") != std::string::npos);
+}
