What was not sent yet never reaches a new process at the address of a node that has gone

Callers may see: work for one node runs at another, new one at the same address, or goes to a removed node.

Cause, three places: (1) when a node is removed or moves, a connection that is still being set up to the old address is kept, and what waits for it is written as soon as any process accepts there; (2) what is queued on a connection that is up is still written after the removal; (3) a new id listed at the address of a listed one leaves the old id in use until its own removal comes, so new attempts for the old id reach the new process.

--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -99,7 +99,20 @@
            : kind_index == actor_.parent_kind_ ? ipfix::NodeRole::kParent
                                                : ipfix::NodeRole::kEdge;
   }
+  // An address that this node takes from one of an earlier list: the other is gone, whether or not the list
+  // has said so yet.
+  void take_address(const NodeId& node, const transport::Address& address) {
+    const auto replaced = actor_.address_owners_.claim(address.text(), node);
+    if (!replaced || listed_.contains(*replaced)) return;
+    remove_node(*replaced);
+    actor_.director_->list_entry(now(), *replaced, {-1}, {-1}, {0}, EndpointState::kRemoved, 0, 0, 0);
+    actor_.log_.info("node_replaced", "node {} replaced by {} at its address", replaced->value, node.value);
+  }
   void add_or_update(const NodeId& node, transport::Address address, const std::string& kind) {
+    take_address(node, address);
+    const auto before = actor_.addresses_.find(node);
+    if (before != actor_.addresses_.end() && !(before->second == address))
+      actor_.address_owners_.release(before->second.text(), node);
     auto& upstream_node = actor_.upstream_nodes_[node];
     if (!upstream_node) {
       upstream_node = std::make_shared<UpstreamNode>(actor_.scheduler_, actor_.limits_, actor_.counters_,
@@ -116,6 +129,7 @@
     const auto found = actor_.upstream_nodes_.find(node);
     if (found == actor_.upstream_nodes_.end()) return;
     found->second->retire();
+    actor_.address_owners_.release(actor_.addresses_.at(node).text(), node);
     actor_.upstream_nodes_.erase(found);
     actor_.addresses_.erase(node);
   }
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -15,6 +15,7 @@
 #include "base/process_memory.hpp"
 #include "distribution/change_receiver.hpp"
 #include "policy.hpp"
+#include "policy/address_owners.hpp"
 #include "policy/memory_budget.hpp"
 #include "policy/start_times.hpp"
 #include "protocol/events.hpp"
@@ -150,6 +151,7 @@
   std::map<NodeId, transport::Address> addresses_;
   std::map<RequestId, Request> requests_;
   policy::StartTimes start_times_;
+  policy::AddressOwners address_owners_;
   std::unique_ptr<Director> director_;
 };
 
--- a/src/routing/upstream_node.cpp
+++ b/src/routing/upstream_node.cpp
@@ -114,12 +114,15 @@
   mailbox_.post([this, request, number] { abandon_attempt(request, number, Result::kCancelled); });
 }
 
-// Open attempts stay on connections to the old address until they end; only new ones go to the new address.
+// Attempts that have been sent stay on connections to the old address until they end; all others go to the
+// new one. By the time a connection to the old address came up, another process might be there.
 void UpstreamNode::set_address(transport::Address address) {
   mailbox_.post([this, address] {
     address_ = address;
-    for (const ConnectionPointer& connection : std::list<ConnectionPointer>(connections_)) {
-      connection->retiring = true;
+    const std::list<ConnectionPointer> connections(connections_);
+    for (const ConnectionPointer& connection : connections) connection->retiring = true;
+    for (const ConnectionPointer& connection : connections) {
+      release_unsent(connection);
       handle_idle(connection);
     }
   });
@@ -128,12 +131,36 @@
 void UpstreamNode::retire() {
   mailbox_.post([this] {
     retired_ = true;
-    for (const ConnectionPointer& connection : std::list<ConnectionPointer>(connections_))
+    for (const ConnectionPointer& connection : std::list<ConnectionPointer>(connections_)) {
+      release_unsent(connection);
       handle_idle(connection);
+    }
     if (connections_.empty()) mailbox_.close();
   });
 }
 
+void UpstreamNode::release_unsent(const ConnectionPointer& connection) {
+  if (connection->state == UpstreamConnection::State::kConnecting) return close_connection(connection);
+  for (std::size_t left = connection->outgoing.size(); left > 0; --left) {
+    UpstreamMessage message = std::move(connection->outgoing.front());
+    connection->outgoing.pop_front();
+    const auto attempt = connection->open_attempts.find(message.request);
+    const bool first_started =
+        left == connection->outgoing.size() + 1 && connection->first_message_bytes_written > 0;
+    if (attempt == connection->open_attempts.end() || first_started) {
+      connection->outgoing.push_back(std::move(message));
+      continue;
+    }
+    const RequestId request = message.request;
+    const ConnectionPointer other = retired_ || attempt->second.moved ? nullptr : choose_connection(request);
+    attempt->second.moved = true;
+    if (other)
+      move_attempt(connection, std::move(message), other);
+    else
+      end_attempt(connection, request, Result::kNotSent, AnswerDetail::kNone, 0, {}, {});
+  }
+}
+
 // Chooses a connection that may carry this request: one without open attempts, else a new one, else the one
 // with the fewest open attempts. Guards against resets, and against answers that are malformed, incomplete or
 // never arrive: all other attempts that are open on such a connection are lost with it. The cost is
@@ -524,6 +551,7 @@
 Task<> UpstreamNode::connect_and_read(ConnectionPointer connection) {
   const Seconds until = Scheduler::now() + limits_.connect_timeout;
   transport::ConnectResult connected = co_await transport::connect(scheduler_, address_, until);
+  if (connection->state == UpstreamConnection::State::kClosed) co_return;  // it is not needed any more
   if (connected.status != transport::ConnectStatus::kConnected) {
     ++counters_.links_failed;
     const bool local_failure = connected.status == transport::ConnectStatus::kLocalFailure;
--- a/src/routing/upstream_node.hpp
+++ b/src/routing/upstream_node.hpp
@@ -62,7 +62,8 @@
                Seconds give_up_at);
   void cancel(const RequestId& request, AttemptNumber number);
   void set_address(transport::Address address);
-  void retire();  // no attempts will follow; connections close as their attempts end
+  // No attempts will follow. Those not sent yet end, and connections close as the others end.
+  void retire();
 
  private:
   struct OpenAttempt {
@@ -89,6 +90,9 @@
   void end_attempt(const ConnectionPointer& connection, const RequestId& request, Result result,
                    AnswerDetail detail, Seconds waited, LoadReport report, Content content);
   void end_attempts(const ConnectionPointer& connection, Result written, Result unwritten, bool may_move_on);
+  // Moves the attempts of which nothing has been written to other connections, or ends them as not sent where
+  // that is not possible.
+  void release_unsent(const ConnectionPointer& connection);
   // Moves an attempt whose command has not been written whole to another connection.
   void move_attempt(const ConnectionPointer& from, UpstreamMessage message, const ConnectionPointer& to);
   // The same for the attempts of a connection that could not be set up, where others are up and below their
--- a/tests/routing/client_connection_test.cpp
+++ b/tests/routing/client_connection_test.cpp
@@ -239,6 +239,11 @@
     CHECK(counters.left == 1);
     CHECK(counters.open == 0);
   }
+  std::string log_text() const {
+    std::string text(1 << 16, '\0');
+    text.resize(static_cast<std::size_t>(pread(fileno(log_file), text.data(), text.size(), 0)));
+    return text;
+  }
   // Each node with an attempt of the request sends this answer.
   void nodes_answer(const std::string& id, const std::string& answer) {
     for (StandInServer* node : {&cache, &parent, &origin})
@@ -496,6 +501,23 @@
   CHECK(director.actor->memory_budget().charged(policy::MemoryUse::kRequests) == 0);
 }
 
+TEST_CASE("a new node at the address of one that is still listed: nothing more is sent to the old one") {
+  TestDirector director;
+  director.log.configure(LogFormat::kJson, LogLevel::kDebug);
+  director.actor->known_change_arrived(*protocol::Json::parse(
+      R"({"seq":6,"fleet":{"full":false,"servers":[{"id":"c9","addr":")" + director.cache.address.text() +
+      R"(","zone":"z2","kind":"cache","cell":1,"state":"active","weight":6,"started_ms":0}]}})"));
+  std::list<PlainClient> clients;
+  for (int i = 0; i < 8; ++i) {
+    clients.emplace_back(director.listener->address());
+    std::string request = get("000000000000100" + std::to_string(i));
+    clients.back().send(request.replace(request.find("/7f/"), 4, "/" + std::to_string(70 + i) + "/"));
+  }
+  director.wait_for_attempts("000000000000100", 8);
+  CHECK(director.log_text().find("\"node\":\"c9\"") != std::string::npos);
+  CHECK(director.log_text().find("\"node\":\"c1\"") == std::string::npos);
+}
+
 TEST_CASE("at the level debug the log names why each connection was closed, and how its request ended") {
   TestDirector director([](Limits& limits) { limits.request_read_timeout = 0.05; });
   director.log.configure(LogFormat::kJson, LogLevel::kDebug);
@@ -507,8 +529,7 @@
   director.wait_for_attempts(kId1, 1);
   leaving.close();
   director.wait_until([&] { return director.counters.clients_closed == 3; });
-  std::string text(1 << 14, '\0');
-  text.resize(static_cast<std::size_t>(pread(fileno(director.log_file), text.data(), text.size(), 0)));
+  const std::string text = director.log_text();
   for (const char* expected : {R"("event":"client_closed","words":"client_closed  unfinished)",
                                R"("event":"client_closed","words":"client_closed  malformed)",
                                R"("request":"0000000000000001","reason":"by_client")",
--- a/tests/routing/upstream_node_test.cpp
+++ b/tests/routing/upstream_node_test.cpp
@@ -515,3 +515,43 @@
   CHECK(test.upstream.trace.find("p1/0 at c1: completed") != std::string::npos);
   CHECK(test.upstream.counters.links_stalled == 0);
 }
+
+namespace {
+
+// A server that does not accept: the only place in its listen queue is taken, so no connection comes up.
+struct FullServer {
+  explicit FullServer(Scheduler& scheduler)
+      : listener(scheduler, *transport::Address::parse("127.0.0.1:0"), 0),
+        first(dial(scheduler, listener.address())) {}
+  transport::Listener listener;
+  std::shared_ptr<TestConnection> first;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "a node's address changes before an attempt was sent: it goes to the new address and not to the old") {
+  NodeAndServer test;
+  FullServer old_address(test.upstream.scheduler);
+  test.upstream.upstream_node->set_address(old_address.listener.address());
+  test.upstream.attempt("p1");
+  CHECK(run_until(test.upstream.scheduler, [&] { return test.upstream.resources.connections == 1; }));
+  test.upstream.upstream_node->set_address(test.server.address);
+  test.wait_for_received("serve p1");
+  CHECK(test.upstream.resources.connections == 1);
+}
+
+TEST_CASE(
+    "a node is removed before an attempt was sent: it ends as not sent, and no connection comes up later") {
+  NodeAndServer test;
+  FullServer removed(test.upstream.scheduler);
+  test.upstream.upstream_node->set_address(removed.listener.address());
+  test.upstream.attempt("p1");
+  CHECK(run_until(test.upstream.scheduler, [&] { return test.upstream.resources.connections == 1; }));
+  test.upstream.upstream_node->retire();
+  const Seconds retired_at = Scheduler::now();
+  test.upstream.wait_for_ended(1);
+  CHECK(Scheduler::now() < retired_at + 2);  // the connection would be given up after 5 s
+  CHECK(test.upstream.trace == "p1/0 at c1: not sent\n");
+  CHECK(test.upstream.resources.connections == 0);
+}
