Requests behind which a client's close can't be seen are rejected and do not begin

Callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: a close waits in the client's kernel behind what it sent and the director has not read. Once the unread bytes fill the connection's window, the director can't see the close, and forwarded one pipelined request after another.

Evidence: the new test (1 MB sent, then closed for sending, then the first request is answered) has a second attempt before, none now.

Change: a request is answered 503 at once and not forwarded while more than 32 KB are unread behind it (half of a connection's first window); counter unread_rejected. Each request still gets an answer.

--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -15,6 +15,7 @@
   COUNT(not_modified, "of the completed: answered 304")                                          \
   COUNT(overdue, "of the forfeited: ended by the deadline guard")                                \
   COUNT(turned_back, "of the bounced: rejected because a limit of the director was reached")     \
+  COUNT(unread_rejected, "of these: so much more was unread that a close could not be seen")     \
   COUNT(clients_accepted, "client connections accepted")                                         \
   COUNT(clients_closed, "of these, closed")                                                      \
   COUNT(clients_slow, "client connections closed: the client did not read the answer in time")   \
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -26,6 +26,11 @@
 // client's kernel.
 constexpr int kReceiveBufferBytes = 256 << 10;
 
+// From so many unread bytes on, the window may be closed, and the client's close wait in its kernel behind
+// what it has not sent. A connection's first window is 64 KB, and small segments take more of the buffer than
+// their bytes.
+constexpr std::size_t kHiddenCloseBytes = 32 << 10;
+
 // Memory beside the data that the buffer of a partly read request keeps, in bytes.
 constexpr std::size_t kWaitingSlackBytes = 1 << 10;
 
@@ -91,6 +96,8 @@
 
 bool ClientConnection::client_has_closed() const { return has_closed(socket_); }
 
+bool ClientConnection::close_may_be_hidden() const { return socket_.unread() > kHiddenCloseBytes; }
+
 bool ClientConnection::has_request_unread() const {
   return !closing_ && !parser_.in_message() && has_unread(socket_);
 }
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -100,6 +100,8 @@
   void answer_with_fallback(const RequestId& request, std::string_view text);
   bool has_request_unread() const;
   bool client_has_closed() const;
+  // Whether so much is unread that the client may have closed the connection behind it.
+  bool close_may_be_hidden() const;
   void answer_and_close(std::string_view text);
   void begin_lingering_close();
   void set_linger_timer();
--- a/src/routing/client_request.cpp
+++ b/src/routing/client_request.cpp
@@ -160,6 +160,14 @@
     close_connection();
     return true;
   }
+  // Guards against requests of a client that sent much at once and has left: nothing of this one has run. The
+  // cost: a client that sends far ahead of its answers has to repeat some requests.
+  if (close_may_be_hidden()) {
+    ++listener_.counters_.unread_rejected;
+    listener_.director_.count_rejected_at_limit();
+    answer(503, "", "", ipfix::Outcome::kRejected);
+    return true;
+  }
   auto forwarded_request = std::make_shared<protocol::ForwardedRequest>();
   forwarded_request->lane = target->request_class_name;
   forwarded_request->name = target->object;
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -182,6 +182,12 @@
   return static_cast<std::size_t>(queued);
 }
 
+std::size_t Socket::unread() const {
+  int bytes = 0;
+  if (descriptor_ < 0 || ioctl(descriptor_, FIONREAD, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 void Socket::shutdown_write() {
   if (descriptor_ >= 0) ::shutdown(descriptor_, SHUT_WR);
 }
--- a/tests/routing/client_connection_test.cpp
+++ b/tests/routing/client_connection_test.cpp
@@ -501,6 +501,20 @@
   CHECK(director.actor->memory_budget().charged(policy::MemoryUse::kRequests) == 0);
 }
 
+TEST_CASE("requests behind which the client's close can't be seen are rejected and do not begin") {
+  TestDirector director;
+  PlainClient client(director.listener->address());
+  client.send(get(kId1));
+  director.wait_for_attempts(kId1, 1);
+  client.send(pipelined(1 << 20));  // more than the kernel holds for the director
+  client.finish();
+  director.nodes_answer(kId1, "ACK - 3\r\none");
+  director.wait_until(
+      [&] { return client.ended() || client.was_reset() || director.attempts_received() > 1; });
+  CHECK(director.attempts_received() == 1);
+  CHECK(client.received().find("503") != std::string::npos);
+}
+
 TEST_CASE("a new node at the address of one that is still listed: nothing more is sent to the old one") {
   TestDirector director;
   director.log.configure(LogFormat::kJson, LogLevel::kDebug);
