Connections alone can't take the memory where the settings give many descriptors and little memory

Cause: the numbers of connections followed the descriptors only: with 32 MB and 100,000 descriptors 33,333 clients at some 3.2 KB each are 100 MB.

Change: at most one client for each 32 KB and one connection to a node for each 16 KB of the limit.

--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -8,6 +8,10 @@
 constexpr std::size_t kKb = 1024;
 constexpr std::size_t kMb = 1024 * kKb;
 
+// Bytes of the memory limit for each connection; the connection itself takes a tenth to a quarter of it.
+constexpr double kMemoryPerClient = 32 * kKb;
+constexpr double kMemoryPerNodeConnection = 16 * kKb;
+
 constexpr double kDefaultDeadline = 6;  // s; used where the settings have no request class
 
 // SIGKILL may come this long after SIGTERM: the longest deadline of a request class, but kKillDeadlineCap at
@@ -66,13 +70,15 @@
   limits.max_request_kb = stream_kb_per_s > 0 ? stream_kb_per_s * limits.max_deadline : 1e6;
   limits.group_count = 256;  // fixed by the protocol
 
+  limits.max_run_ids = clamp_count(memory / (4 * kKb), 1024, 1 << 22);  // about 60 bytes each
   // About 110 bytes each: a tenth of the memory. With 32 MB the parts of 30 s at 1,000 new ones a second.
   limits.max_tracked_parts = clamp_count(memory / kKb, 1024, 1 << 24);
 
-  limits.max_clients = clamp_count(sockets / 3, 1, 100000);
-  limits.max_run_ids = clamp_count(memory / (4 * kKb), 1024, 1 << 22);  // about 60 bytes each
+  // Memory for each connection itself: no more than the memory suffices for, whatever the descriptors.
+  limits.max_clients = clamp_count(std::min(sockets / 3, memory / kMemoryPerClient), 1, 100000);
   // 32 descriptors are reserved for the log, epoll, signals, the listener and the change stream, which use 8.
-  limits.max_node_connections = clamp_count(sockets - sockets / 3 - 32, 1, 100000);
+  limits.max_node_connections =
+      clamp_count(std::min(sockets - sockets / 3 - 32, memory / kMemoryPerNodeConnection), 1, 100000);
   // One for each attempt in flight, as far as the descriptors suffice: 17 with 256 descriptors, about 80 with
   // 1,024.
   limits.max_connections_per_node = clamp_count(limits.max_node_connections / 8.0, 2, 10000);
--- a/tests/program/program_test.cpp
+++ b/tests/program/program_test.cpp
@@ -210,6 +210,15 @@
   CHECK(limits.max_clients == 100);
   CHECK(limits.max_clients + limits.max_node_connections <= 300 - 32);
   CHECK(limits.max_pending_answers == 24u << 20);
+  // Many descriptors and little memory: connections alone must not take all of it.
+  const auto crowded = program::fill_limits(*protocol::Json::parse(R"({"memory_mb":32,"sockets":100000})"),
+                                            *protocol::Json::parse("{}"));
+  CHECK(crowded.max_clients == 1024);
+  CHECK(crowded.max_node_connections == 2048);
+  const auto named = program::fill_limits(*protocol::Json::parse(R"({"memory_mb":32,"sockets":1024})"),
+                                          *protocol::Json::parse("{}"));
+  CHECK(named.max_clients == 341);
+  CHECK(named.max_node_connections == 650);
   CHECK(limits.connect_timeout == 0.25);
   CHECK(limits.node_idle_timeout < 15);
   CHECK(limits.max_attempts_per_connection == 7);
