The body of a write is no longer copied for each command that waits to be written

Cause: each attempt's command held a copy of the request's body from its first byte until a node had read it.

Change: a message holds the command's line; body and end are written from the request itself (UpstreamMessage::piece). The last two bytes of a write are held back as before.

--- a/src/protocol/lines.cpp
+++ b/src/protocol/lines.cpp
@@ -42,8 +42,8 @@
 
 }  // namespace
 
-std::string format_serve_command(const RequestId& request, const ForwardedRequest& forwarded_request,
-                                 Seconds time_left, const NodeId& node, const FillOptions& fill) {
+std::string format_serve_line(const RequestId& request, const ForwardedRequest& forwarded_request,
+                              Seconds time_left, const NodeId& node, const FillOptions& fill) {
   std::string line;
   const auto add = [&](const auto&... parts) { ((line += parts), ...); };
   add("serve ", request.value, " lane=", forwarded_request.lane, ",name=", forwarded_request.name);
@@ -62,7 +62,7 @@
   add_way(fill.bypass_parent_storage, "through");
   add_way(fill.background_refresh, "update");
   if (!forwarded_request.cached.empty()) add(",cached=", forwarded_request.cached);
-  add(" ", std::to_string(forwarded_request.body.size()), "\r\n", forwarded_request.body, "\r\n");
+  add(" ", std::to_string(forwarded_request.body.size()), "\r\n");
   return line;
 }
 
--- a/src/protocol/lines.hpp
+++ b/src/protocol/lines.hpp
@@ -22,9 +22,11 @@
   bool client_gone = false;
 };
 
-// The command to serve a request. time_left: for the node to answer. node: the node that gets the command.
-std::string format_serve_command(const RequestId& request, const ForwardedRequest& forwarded_request,
-                                 Seconds time_left, const NodeId& node, const FillOptions& fill);
+// The first line of the command to serve a request; the request's body and kCommandEnd follow. time_left: for
+// the node to answer. node: the node that gets the command.
+constexpr std::string_view kCommandEnd = "\r\n";
+std::string format_serve_line(const RequestId& request, const ForwardedRequest& forwarded_request,
+                              Seconds time_left, const NodeId& node, const FillOptions& fill);
 std::string format_cancel_command(const RequestId& request);
 
 class AnswerHandler {
--- a/src/routing/upstream_message.cpp
+++ b/src/routing/upstream_message.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::size_t kHeldBackBytes = 2;  // the line end after the body of a write
-
 // The smaller of two bounds on the age of a copy, where 0 means no bound.
 Seconds stricter_bound(Seconds first, Seconds second) {
   if (first <= 0) return second;
@@ -43,9 +41,19 @@
   if (!forwarded_request) return;
   FillOptions fill_options = fill;
   fill_options.max_copy_age = stricter_bound(fill.max_copy_age, max_copy_age);
-  bytes = protocol::format_serve_command(request, *forwarded_request, give_up_at - now, node, fill_options);
-  held_back = hold_back_end && !forwarded_request->body.empty() ? kHeldBackBytes : 0;
+  bytes = protocol::format_serve_line(request, *forwarded_request, give_up_at - now, node, fill_options);
+  if (!has_body()) bytes += protocol::kCommandEnd;
+  held_back = hold_back_end ? end().size() : 0;
   release_at = 0;
 }
 
+std::string_view UpstreamMessage::piece(std::size_t offset, std::size_t limit) const {
+  std::size_t begin = 0;
+  for (const std::string_view part : {std::string_view(bytes), body(), end()}) {
+    if (offset < begin + part.size()) return part.substr(offset - begin, limit - offset);
+    begin += part.size();
+  }
+  return {};
+}
+
 }  // namespace hareramp::routing
--- a/src/routing/upstream_message.hpp
+++ b/src/routing/upstream_message.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "policy.hpp"
 #include "protocol/lines.hpp"
@@ -28,6 +29,13 @@
   // last bytes of a write are to be held back for a short time (Limits::final_write_delay).
   void encode(Seconds now, const NodeId& node, Seconds max_copy_age, bool hold_back_end);
 
+  // The command's size in bytes, once it is encoded.
+  std::size_t size() const { return bytes.size() + body().size() + end().size(); }
+  // Bytes of the encoded command from an offset on, as far as they lie together, and not past `limit`.
+  std::string_view piece(std::size_t offset, std::size_t limit) const;
+
+  // Without the body of a write and the command's end: the body is written from the request itself, so that
+  // no copy of it waits for a node that reads slowly.
   std::string bytes;
   RequestId request;          // empty for a cancel command, which no attempt waits for
   std::size_t held_back = 0;  // bytes at the end that are held back for a short time
@@ -37,6 +45,11 @@
   std::shared_ptr<const protocol::ForwardedRequest> forwarded_request;
   FillOptions fill;
   Seconds give_up_at = 0;  // the scheduler's time
+
+ private:
+  bool has_body() const { return forwarded_request && !forwarded_request->body.empty(); }
+  std::string_view body() const { return has_body() ? std::string_view(forwarded_request->body) : ""; }
+  std::string_view end() const { return has_body() ? protocol::kCommandEnd : ""; }
 };
 
 }  // namespace hareramp::routing
--- a/src/routing/upstream_node.cpp
+++ b/src/routing/upstream_node.cpp
@@ -429,7 +429,7 @@
   const bool of_attempt = found != connection.open_attempts.end();
   if (of_attempt) found->second.octets_written += bytes;
   connection.first_message_bytes_written += bytes;
-  if (connection.first_message_bytes_written < first.bytes.size()) return;
+  if (connection.first_message_bytes_written < first.size()) return;
   if (of_attempt) {
     found->second.written = true;
     found->second.written_at = Scheduler::now();
@@ -460,7 +460,7 @@
   while (!connection->outgoing.empty()) {
     if (connection->first_message_bytes_written == 0 && !encode_first(connection)) continue;
     UpstreamMessage& message = connection->outgoing.front();
-    const std::size_t immediate_size = message.bytes.size() - message.held_back;
+    const std::size_t immediate_size = message.size() - message.held_back;
     const bool immediate_written = connection->first_message_bytes_written >= immediate_size;
     if (immediate_written && message.held_back > 0) {
       const Seconds now = Scheduler::now();
@@ -471,9 +471,9 @@
       }
       if (now < message.release_at) return true;
     }
-    const std::string_view bytes =
-        std::string_view(message.bytes).substr(0, immediate_written ? message.bytes.size() : immediate_size);
-    const IoResult io = connection->socket.write_now(bytes.substr(connection->first_message_bytes_written));
+    const std::string_view bytes = message.piece(connection->first_message_bytes_written,
+                                                 immediate_written ? message.size() : immediate_size);
+    const IoResult io = connection->socket.write_now(bytes);
     count_written(*connection, io.bytes);
     if (io.status == IoStatus::kTimedOut) return false;
     if (!io.ok()) {  // the read loop closes the connection, after reading what the node still sent
--- a/tests/protocol/protocol_test.cpp
+++ b/tests/protocol/protocol_test.cpp
@@ -111,6 +111,15 @@
 
 }  // namespace
 
+namespace {
+// A whole command, as it is written to a node.
+std::string serve_command(const RequestId& request, const ForwardedRequest& forwarded_request,
+                          Seconds time_left, const NodeId& node, const FillOptions& fill) {
+  return format_serve_line(request, forwarded_request, time_left, node, fill) + forwarded_request.body +
+         std::string(kCommandEnd);
+}
+}  // namespace
+
 TEST_CASE("HTTP requests") {
   std::string trace;
   const auto add = [&](const std::string& text) { trace += http_in_pieces(text); };
@@ -198,19 +207,19 @@
 TEST_CASE("commands to nodes") {
   const RequestId request{"9b1f03aa5c7e2d41"};
   ForwardedRequest forwarded_request{"segment", "7f3a9c21e0b4d655", "3", "", ""};
-  std::string trace = format_serve_command(request, forwarded_request, 1.4999, {"c1"}, {.source = {"c1"}});
-  trace += format_serve_command(request, forwarded_request, 1.5, {"c1"},
-                                {.source = {"P1"},
-                                 .rank = 2,
-                                 .max_copy_age = 0.0004,
-                                 .join = true,
-                                 .cached_only = true,
-                                 .background_refresh = true});
-  trace += format_serve_command(request, forwarded_request, -1, {"c1"},
-                                {.source = {"P1"}, .max_copy_age = 8.0019, .bypass_parent_storage = true});
+  std::string trace = serve_command(request, forwarded_request, 1.4999, {"c1"}, {.source = {"c1"}});
+  trace += serve_command(request, forwarded_request, 1.5, {"c1"},
+                         {.source = {"P1"},
+                          .rank = 2,
+                          .max_copy_age = 0.0004,
+                          .join = true,
+                          .cached_only = true,
+                          .background_refresh = true});
+  trace += serve_command(request, forwarded_request, -1, {"c1"},
+                         {.source = {"P1"}, .max_copy_age = 8.0019, .bypass_parent_storage = true});
   forwarded_request = {"handover", "1", "", "4be0c1927d55a6f3", "body\r\n"};
-  trace += format_serve_command(request, forwarded_request, 3, {"O"}, {.source = {"O"}}) +
-           format_cancel_command(request);
+  trace +=
+      serve_command(request, forwarded_request, 3, {"O"}, {.source = {"O"}}) + format_cancel_command(request);
   std::erase(trace, '\r');
   check_trace("node_commands", trace);
 }
--- a/tests/routing/upstream_node_test.cpp
+++ b/tests/routing/upstream_node_test.cpp
@@ -555,3 +555,16 @@
   CHECK(test.upstream.trace == "p1/0 at c1: not sent\n");
   CHECK(test.upstream.resources.connections == 0);
 }
+
+TEST_CASE("a write that waits for a node that does not read is not held in memory a second time") {
+  const auto request = std::make_shared<protocol::ForwardedRequest>();
+  request->body = std::string(1000, 'b');
+  UpstreamMessage message = UpstreamMessage::attempt({"p1"}, request, {}, 1);
+  message.encode(0, {"c1"}, 0, true);
+  CHECK(message.bytes.capacity() < 200);
+  CHECK(message.held_back == 2);
+  std::string written;
+  while (written.size() < message.size()) written += message.piece(written.size(), message.size());
+  CHECK(written == message.bytes + request->body + "\r\n");
+  CHECK(message.piece(3, 5) == message.bytes.substr(3, 2));
+}
