Relay: half sent requests of many connections no longer take memory without a bound

Change: while 512 requests are being read no further connection is accepted; the others wait in the backlog (4,096). The price: behind 512 connections that send half a request, a subscriber waits up to 2.2 s.

--- a/src/distribution/relay_actor.cpp
+++ b/src/distribution/relay_actor.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <charconv>
+#include <optional>
 #include <utility>
 
 #include "protocol/http.hpp"
@@ -22,13 +23,15 @@
 
 constexpr std::size_t kReadBufferBytes = 2048;      // a subscriber sends one request of a few hundred bytes
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;  // unsent bytes in the kernel, per subscriber
-constexpr int kAcceptBacklog = 4096;                // all subscribers of a region may reconnect at once
+// Connections whose request is being read: with 18 KB each at most, under 10 MB.
+constexpr std::size_t kMaxUnfinishedRequests = 512;
+constexpr int kAcceptBacklog = 4096;  // all subscribers of a region may reconnect at once
 
 // The HTTP request of a subscriber.
 struct SubscriptionRequest : protocol::HttpHandler {
   std::string method, target;
   long long cursor = 0;
-  bool compressed = false;
+  bool compressed = false, is_complete = false;
 
   void start_line(std::string_view first, std::string_view second) override {
     method = first;
@@ -70,6 +73,27 @@
   return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 }
 
+// Reads the request of one connection. Nothing: the connection ended before it was complete, or sent what is
+// no request.
+Task<std::optional<SubscriptionRequest>> read_request(Socket& socket, const Limits& limits) {
+  const Seconds deadline = Scheduler::now() + limits.request_read_timeout;
+  protocol::HttpParser parser(protocol::HttpParser::Message::kRequest, {limits.max_head, 0});
+  SubscriptionRequest request;
+  transport::Buffer in(kReadBufferBytes);
+  auto step = protocol::HttpParser::Step::kMore;
+  while (step == protocol::HttpParser::Step::kMore) {
+    const IoResult io = co_await socket.read(in, kReadBufferBytes, deadline);
+    if (!io.ok()) co_return std::nullopt;
+    do {
+      std::size_t used = 0;
+      step = parser.parse(in.view(), used, request);
+      in.consume(used);
+    } while (step == protocol::HttpParser::Step::kHead);
+  }
+  request.is_complete = step == protocol::HttpParser::Step::kDone;
+  co_return request;
+}
+
 }  // namespace
 
 class RelayActor::Session {
@@ -114,6 +138,9 @@
 
 Task<> RelayActor::accept_subscribers(RelayActor& self) {
   for (;;) {
+    // Guards against connections that send half a request: the others wait in the backlog.
+    while (self.unfinished_requests_ >= kMaxUnfinishedRequests)
+      co_await self.scheduler_.sleep_until(Scheduler::now() + self.limits_.accept_retry_delay);
     auto accepted = co_await self.listener_.accept();
     if (accepted.status == transport::Listener::Status::kClosed) co_return;
     if (accepted.status != transport::Listener::Status::kAccepted) {
@@ -122,6 +149,7 @@
     }
     accepted.socket.limit_send_buffer(kMaxUnsentBytes);
     limit_unacknowledged_time(accepted.socket, self.settings_.stall_timeout);
+    ++self.unfinished_requests_;
     self.scheduler_.spawn(
         serve(self, std::make_shared<Session>(++self.last_id_, std::move(accepted.socket))));
   }
@@ -144,23 +172,18 @@
 // subscriber is written by execute(). A connection that sends anything after its request is not a
 // subscriber's and is closed.
 Task<> RelayActor::serve(RelayActor& self, SessionPointer session) {
-  const Seconds deadline = Scheduler::now() + self.limits_.request_read_timeout;
-  protocol::HttpParser parser(protocol::HttpParser::Message::kRequest, {self.limits_.max_head, 0});
-  SubscriptionRequest request;
-  transport::Buffer in(kReadBufferBytes);
-  auto step = protocol::HttpParser::Step::kMore;
-  while (step == protocol::HttpParser::Step::kMore) {
-    const IoResult io = co_await session->socket.read(in, kReadBufferBytes, deadline);
-    if (!io.ok()) co_return;
-    do {
-      std::size_t used = 0;
-      step = parser.parse(in.view(), used, request);
-      in.consume(used);
-    } while (step == protocol::HttpParser::Step::kHead);
+  std::optional<SubscriptionRequest> request;
+  try {
+    request = co_await read_request(session->socket, self.limits_);
+  } catch (...) {  // no memory
+    --self.unfinished_requests_;
+    throw;
   }
-  const bool is_health_check = request.target == "/_health";
-  if (step != protocol::HttpParser::Step::kDone || request.method != "GET" ||
-      (request.target != "/changes" && !is_health_check)) {
+  --self.unfinished_requests_;
+  if (!request) co_return;
+  const bool is_health_check = request->target == "/_health";
+  if (!request->is_complete || request->method != "GET" ||
+      (request->target != "/changes" && !is_health_check)) {
     session->socket.write_now(empty_response("404 Not Found"));
     co_return;
   }
@@ -168,9 +191,10 @@
     session->socket.write_now(empty_response("200 OK"));
     co_return;
   }
-  session->compressed = request.compressed;
+  session->compressed = request->compressed;
   self.sessions_[session->id] = session;
-  self.post(SubscriberConnected{session->id, request.cursor, request.compressed});
+  self.post(SubscriberConnected{session->id, request->cursor, request->compressed});
+  transport::Buffer in(kReadBufferBytes);
   co_await session->socket.read(in, kReadBufferBytes, transport::kNever);
   session->socket.close();
   self.sessions_.erase(session->id);
--- a/src/distribution/relay_actor.hpp
+++ b/src/distribution/relay_actor.hpp
@@ -30,6 +30,8 @@
   void start();
   transport::Address address() const { return listener_.address(); }
   // Stops listening and closes every subscriber's connection; subscribers then reconnect to another relay.
+  // Connections that have not sent their whole request yet.
+  std::size_t unfinished_requests() const { return unfinished_requests_; }
   void close();
   void set_sources(std::vector<Endpoint> sources) { subscription_.set_endpoints(std::move(sources)); }
   const Relay& relay() const { return relay_; }
@@ -69,6 +71,7 @@
   transport::Listener listener_;
   std::map<SubscriberId, SessionPointer> sessions_;
   SubscriberId last_id_ = 0;
+  std::size_t unfinished_requests_ = 0;  // connections whose request has not been read whole
   // The unanswered done of the last changes_arrived(); empty unless reading waits for purges to expire.
   std::function<void(bool)> pending_done_;
   std::uint64_t bytes_given_ = 0, writes_ = 0;
