--- a/experiments/client_floods/floods.cpp
+++ b/experiments/client_floods/floods.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -78,12 +79,12 @@
 bool must_be_ended(FloodKind kind) { return traits(kind).must_be_ended; }
 
 const std::vector<FloodKind>& all_flood_kinds() {
-  static const std::vector<FloodKind> kinds = [] {
-    std::vector<FloodKind> all;
-    for (const KindTraits& entry : kKinds) all.push_back(entry.kind);
-    return all;
+  static const std::vector<FloodKind> kAll = [] {
+    std::vector<FloodKind> kinds(kKinds.size());
+    std::transform(kKinds.begin(), kKinds.end(), kinds.begin(), [](const auto& entry) { return entry.kind; });
+    return kinds;
   }();
-  return kinds;
+  return kAll;
 }
 
 Flood::Flood(FloodKind kind, transport::Address director, int connections, std::uint64_t seed,
--- a/experiments/client_floods/well_behaved.cpp
+++ b/experiments/client_floods/well_behaved.cpp
@@ -21,6 +21,7 @@
 constexpr Seconds kCrossingTime = 0.05;  // a close within this time of the request: it is sent again, once
 constexpr Seconds kIdleClose = 4;        // clients close connections that were idle for so long
 constexpr std::uint64_t kObjects = 200;
+constexpr std::uint64_t kIdsPerClient = 1ULL << 32;
 constexpr double kWriteShare = 0.2, kLargeShare = 0.1;
 constexpr std::size_t kReadBytes = 1 << 16;
 
@@ -39,7 +40,7 @@
   Client(std::uint64_t client_number, std::uint64_t seed) : number(client_number), random(seed) {}
   double draw() { return std::uniform_real_distribution<double>(0, 1)(random); }
   std::string next_request() {
-    const std::string id = request_id(kWellBehavedPrefix, number << 32 | ++sent);
+    const std::string id = request_id(kWellBehavedPrefix, number * kIdsPerClient + ++sent);
     const int deadline_ms = static_cast<int>(kDeadline * 1000);
     const double kind = draw();
     if (kind < kWriteShare) return write_request(id, 1 + random() % kLargestWrite, deadline_ms);
@@ -57,7 +58,8 @@
 WellBehavedClients::WellBehavedClients(transport::Address director, int clients, double pause,
                                        std::uint64_t seed)
     : director_(director), pause_(pause), seed_(seed), running_(clients) {
-  for (int i = 0; i < clients; ++i) scheduler_.spawn(run(*this, static_cast<std::uint64_t>(i + 1)));
+  for (int number = 1; number <= clients; ++number)
+    scheduler_.spawn(run(*this, static_cast<std::uint64_t>(number)));
   thread_ = std::thread([this] { scheduler_.run(); });
 }
 
--- a/src/program/relay.cpp
+++ b/src/program/relay.cpp
@@ -58,7 +58,7 @@
   const Limits limits = fill_limits(no_settings, no_settings);
   Counters counters;
   Scheduler scheduler;
-  scheduler.on_failure = [&](std::exception_ptr failure) {
+  scheduler.on_failure = [&](const std::exception_ptr& failure) {
     ++counters.failures;
     try {
       std::rethrow_exception(failure);
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -73,7 +73,7 @@
           1)  // shorter ones are only counted: a machine without a free core has many
         log_.warning("stood_still", "the process was stalled for {:.1f} s", scheduler_.lateness());
     };
-    scheduler_.on_failure = [this](std::exception_ptr failure) {
+    scheduler_.on_failure = [this](const std::exception_ptr& failure) {
       ++counters_.failures;
       try {
         std::rethrow_exception(failure);
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -103,6 +103,7 @@
   // Whether so much is unread that the client may have closed the connection behind it.
   bool close_may_be_hidden() const;
   void answer_and_close(std::string_view text);
+  void reject_and_close();
   void begin_lingering_close();
   void set_linger_timer();
   void check_linger();
