--- a/tests/client_floods/client_floods_test.cpp
+++ b/tests/client_floods/client_floods_test.cpp
@@ -26,6 +26,16 @@
 
 }  // namespace
 
+// Drawn plays (experiments/client_floods); the long run is started by hand with client_floods_experiment
+// --seeds.
+TEST_CASE("drawn floods under drawn limits: no crash, no lost request, nothing that runs twice") {
+  for (const std::uint64_t seed : {16, 42, 58}) {
+    RunPlan plan = draw_plan(HARERAMP_BINARY, seed);
+    plan.seconds = 4;
+    check(plan);
+  }
+}
+
 TEST_CASE("half sent requests of hundreds of clients do not take the director past its memory limit") {
   check(flood_plan({FloodKind::kHalfBodies, FloodKind::kChunkedBodies, FloodKind::kLongFields}, 150));
 }
