--- a/experiments/client_floods/floods.cpp
+++ b/experiments/client_floods/floods.cpp
@@ -148,7 +148,7 @@
   }
 }
 
-// A client that is owed an end goes on sending after it: it stops only when its connection is closed.
+// A client that must be refused keeps sending after the refusal, until its connection is closed.
 Task<> Flood::read_and_discard(SocketPointer socket) {
   transport::Buffer received(kReadBytes);
   while ((co_await socket->read(received, kReadBytes, transport::kNever)).ok())
--- a/src/policy/address_owners.hpp
+++ b/src/policy/address_owners.hpp
@@ -1,5 +1,5 @@
 // Decides which node an address belongs to: the one that was listed there last. A new node may have the
-// address of one that has gone, and its entry may come before the other's removal, or without it; whatever is
+// address of one that has gone, and its entry may come before the other's removal, or without it; what is
 // sent to the other then would reach the new node.
 #pragma once
 
--- a/src/policy/memory_budget.cpp
+++ b/src/policy/memory_budget.cpp
@@ -17,7 +17,7 @@
 constexpr double kMaxShareOfOneUse = 0.625;
 // A change of what is charged by this share of the limit causes a new measurement.
 constexpr double kMeasureAfterShare = 1.0 / 32;
-// Memory that is kept and not used, as a share of the limit, from which on it is worth to return it.
+// Memory that is kept and not used, as a share of the limit, from which on it is returned.
 constexpr double kTrimAfterShare = 1.0 / 16;
 
 std::size_t share_of(std::size_t bytes, double share) {
--- a/src/policy/memory_budget.hpp
+++ b/src/policy/memory_budget.hpp
@@ -1,9 +1,9 @@
 // Decides how much memory requests and answers may take, so that the process as a whole stays below the limit
 // that its platform sets. Independent of the system: what the process uses is passed in.
 //
-// Bytes that belong to a request or an answer are charged to one of two uses. Whatever else the process uses,
-// such as lists and connections, is the difference between the memory in use and what is charged; it is
-// measured again and again, and what remains below the ceiling is the budget of both uses.
+// Bytes that belong to a request or an answer are charged to one of two uses. Everything else that the
+// process uses, such as lists and connections, is the difference between the memory in use and what is
+// charged; it is measured again and again, and what remains below the ceiling is the budget of both uses.
 // Neither may take all of it: clients that do not finish their requests can't keep answers from others, nor
 // the other way round. A bound on each connection alone would not do: their number is in the settings, and
 // the sum passes the least memory that the settings may name.
--- a/src/routing/client_closing.cpp
+++ b/src/routing/client_closing.cpp
@@ -87,7 +87,7 @@
   reject_and_close();
 }
 
-// Guards against a client that does not read. By the reset it can tell that the answer is incomplete.
+// Guards against a client that does not read. The reset shows it that the answer is incomplete.
 void ClientConnection::abort_answer(CloseReason reason) {
   set_close_reason(reason);
   flow_observer_ = nullptr;
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -31,7 +31,7 @@
 // their bytes.
 constexpr std::size_t kHiddenCloseBytes = 32 << 10;
 
-// Memory beside the data that the buffer of a partly read request keeps, in bytes.
+// Unused memory that the buffer of a partly read request keeps, in bytes.
 constexpr std::size_t kWaitingSlackBytes = 1 << 10;
 
 // Final answers for when memory, or time, for other answers is lacking.
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -80,7 +80,7 @@
   void body(std::string_view piece) override;
 
   void advance();
-  // Charges the memory that the requests being read take, beside additional_bytes that are about to be
+  // Charges the memory that the requests being read take, and additional_bytes that are about to be
   // allocated for them. False: there is no room for it.
   bool charge_request_memory(std::size_t additional_bytes);
   void free_request_memory();
--- a/src/transport/buffer.hpp
+++ b/src/transport/buffer.hpp
@@ -16,7 +16,7 @@
  public:
   // An empty buffer retains at most this many bytes of memory.
   explicit Buffer(std::size_t retained_bytes) : retained_bytes_(retained_bytes) {}
-  // The same; while it waits for more data, it has at most waiting_slack bytes of memory beside the data.
+  // The same; while it waits for more data, at most waiting_slack bytes of its memory are unused.
   Buffer(std::size_t retained_bytes, std::size_t waiting_slack)
       : retained_bytes_(retained_bytes), waiting_slack_(waiting_slack) {}
 
@@ -48,8 +48,8 @@
     begin_ = end_ = 0;
     if (capacity_ > retained_bytes_) release();
   }
-  // Frees the memory that a connection does not need while it waits for data: all of an empty buffer, and
-  // what is more than the slack beside the data of another.
+  // Frees the memory that a connection does not need while it waits for data: all of an empty buffer, and the
+  // unused part of another where that exceeds the slack.
   void release() {
     const std::size_t bytes = size();
     if (bytes > 0 && capacity_ - bytes <= waiting_slack_) return;
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -82,7 +82,7 @@
   void limit_send_buffer(std::size_t bytes);
   // Bytes written that the peer's kernel has not acknowledged.
   std::size_t unacknowledged() const;
-  // Bytes that have arrived and not been read; 0 where the system does not tell.
+  // Bytes that have arrived and not been read; 0 where the system does not report it.
   std::size_t unread() const;
   // One read of the data available, appended to the buffer; it provides space for min_space bytes. After some
   // reads in a row that did not have to wait, the next one waits for the next turn of the loop, so that a
