--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -74,8 +74,7 @@
   // About 110 bytes each: a tenth of the memory. With 32 MB the parts of 30 s at 1,000 new ones a second.
   limits.max_tracked_parts = clamp_count(memory / kKb, 1024, 1 << 24);
 
-  // Memory for each connection itself: no more than the memory suffices for, however many descriptors there
-  // are.
+  // However many descriptors there are, no more connections than the memory suffices for.
   limits.max_clients = clamp_count(std::min(sockets / 3, memory / kMemoryPerClient), 1, 100000);
   // 32 descriptors are reserved for the log, epoll, signals, the listener and the change stream, which use 8.
   limits.max_node_connections =
