A client that keeps sending requests no longer holds up the end of the process

Callers may see: after SIGTERM a director ends only at the last moment, or is killed, while one client sends at full speed.

Cause: the end of a drain waits for each connection on which a request is open; on one whose requests follow each other without a pause that is always so, until shutdown_close_deadline, 0.15 s before SIGKILL may come.

The new test waits 20 s in vain before, and ends at once now.

Change: when the drain's window is over, a connection is still served what has arrived by then; the answer to the first request after that closes it.

--- a/src/routing/client_closing.cpp
+++ b/src/routing/client_closing.cpp
@@ -107,6 +107,8 @@
 }
 
 void ClientConnection::close_unless_busy() {
+  // Guards against a client that keeps sending: what arrives from now on is not waited for.
+  if (busy_ && !drain_bytes_left_) drain_bytes_left_ = input_.size() + socket_.unread();
   if (busy_ || closing_ || has_request_unread()) return;
   set_close_reason(CloseReason::kShutdown);
   if (parser_.in_message())
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -197,6 +197,7 @@
     const auto step = parser_.parse(input_.view(), consumed, *this);
     input_.consume(consumed);
     request_bytes_ += consumed;
+    if (drain_bytes_left_) *drain_bytes_left_ -= std::min(consumed, *drain_bytes_left_);
     switch (step) {
       case HttpParser::Step::kMore:
         return;
@@ -211,7 +212,7 @@
         // not a request.
         if (!begins_request(input_.view())) return refuse(400);
         busy_ = true;
-        keep_alive_ = parser_.keeps_alive();
+        keep_alive_ = parser_.keeps_alive() && drain_bytes_left_ != std::size_t{0};
         serve();
         break;
       case HttpParser::Step::kBad:
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -137,6 +138,8 @@
   bool busy_ = false;               // a request is being answered
   bool awaiting_director_ = false;  // the Director has not yet answered the open request
   bool keep_alive_ = true;
+  // While the process shuts down: how much of what had arrived by then is still to be parsed.
+  std::optional<std::size_t> drain_bytes_left_;
   bool closing_ = false;             // no further request is read
   bool seen_valid_request_ = false;  // a complete request of a kind that is served here has been read
   Seconds linger_until_ = 0;
--- a/tests/routing/client_connection_test.cpp
+++ b/tests/routing/client_connection_test.cpp
@@ -120,6 +120,9 @@
             static_cast<ssize_t>(bytes.size()));
   }
   std::uint16_t local_port() const { return transport::Address::own(descriptor_)->port(); }
+  void try_send(std::string_view bytes) {
+    ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
   void finish() { ::shutdown(descriptor_, SHUT_WR); }
   void close() {
     if (descriptor_ >= 0) ::close(std::exchange(descriptor_, -1));
@@ -568,6 +571,24 @@
   CHECK_FALSE(idle.was_reset());
 }
 
+TEST_CASE("the end of a drain is not held up by a client that keeps sending requests") {
+  TestDirector director;
+  PlainClient client(director.listener->address());
+  const auto send_on = [&]() -> transport::Task<> {
+    while (!client.ended() && !client.was_reset()) {
+      client.try_send("GET /_health HTTP/1.1\r\nHost: s\r\n\r\nGET /_health HTTP/1.1\r\nHost: s\r\n\r\n");
+      co_await director.scheduler.next_turn();
+    }
+  };
+  director.scheduler.spawn(send_on());
+  director.wait_until([&] { return director.counters.health_asked > 100; });
+  director.wait_until([&] {
+    director.listener->close();
+    return director.listener->clients() == 0;
+  });
+  CHECK(client.received().find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("the end of a drain does not reset an answer on its way to a client that still sends") {
   TestDirector director;
   PlainClient client(director.listener->address());
