--- a/review/stand_ins_2/kit.hpp
+++ b/review/stand_ins_2/kit.hpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <condition_variable>
 #include <cstdint>
 #include <cstdio>
