--- a/review/stand_ins_2/comment_first.cpp
+++ b/review/stand_ins_2/comment_first.cpp
@@ -1,6 +1,6 @@
 // Case: the change log was down for some seconds; when it is back, it writes a comment first, and what was
 // missed a little later.
-#include "kit.hpp"
+#include "cache.hpp"
 
 using namespace kit;
 
@@ -15,48 +15,13 @@
 constexpr double kPurgeDone = 5.9;  // s: within PurgeDoneS (6 s) the nodes drop the copies by themselves
 constexpr double kRunFor = 12.0;    // s
 constexpr double kDeadline = 2.5;   // s
-
-// A cache that keeps what it fills; the origin behind it gives out a copy at once.
-class Cache {
- public:
-  Cache(Case& the_case, std::atomic<double>& purged_at) : the_case_(the_case), purged_at_(purged_at) {}
-  void serve(const Command& command) {
-    const double now = unix_seconds(), purged_at = purged_at_;
-    const std::string limit = command.field("agelim");
-    const std::lock_guard lock(mutex_);
-    auto found = copies_.find(command.key());
-    if (found != copies_.end() && purged_at > 0 && now > purged_at + kPurgeDone && found->second < purged_at)
-      copies_.erase(found), found = copies_.end();
-    const bool fits = found != copies_.end() && (limit.empty() || limit == "0" ||
-                                                 now - found->second <= std::atof(limit.c_str()) / 1000);
-    double copy = fits ? found->second : now;
-    const char* why = fits ? "mem" : "origin";
-    if (!fits && command.field("next").empty()) {
-      the_case_.record.line("cache got " + command.id + " " + command.key() + " agelim=" + limit +
-                            ": absent");
-      return command.answer("NOENT", "why=absent");
-    }
-    if (!fits) copies_[command.key()] = copy;
-    the_case_.record.line("cache got " + command.id + " " + command.key() + " agelim=" + limit + ": " + why +
-                          ", copy of " + unix_ms(copy));
-    command.answer("ACK", "sum=v" + unix_ms(copy) + ",t0=" + unix_ms(copy) + ",why=" + why, unix_ms(copy));
-    if (judge) judge(command, copy);
-  }
-  std::function<void(const Command&, double copy)> judge;
-
- private:
-  Case& the_case_;
-  std::atomic<double>& purged_at_;
-  std::mutex mutex_;
-  std::map<std::string, double> copies_;
-};
 }  // namespace
 
 int main(int count, char** words) {
   Case the_case(count, words);
   std::atomic<double> purged_at = 0, told_at = 0;
   std::atomic<int> old_copies = 0;
-  Cache cache(the_case, purged_at);
+  Cache cache(the_case, purged_at, kPurgeDone);
   cache.judge = [&](const Command& command, double copy) {
     if (told_at <= 0 || command.came_at <= told_at + kPurgeSlack || copy >= purged_at) return;
     ++old_copies;
--- a/review/stand_ins_2/kit.hpp
+++ b/review/stand_ins_2/kit.hpp
@@ -287,6 +287,21 @@
     changed_.notify_all();
   }
   void come_back() { server_.open(); }
+  // Adds these events, writes the beginning of the first one to each follower, and ends the connections. New
+  // ones are accepted.
+  void break_off(const std::vector<std::string>& events) {
+    const std::lock_guard lock(mutex_);
+    const std::string first = "id: " + std::to_string(events_.size() + 1) + "\ndata: {\"seq\":";
+    for (const std::string& what : events)
+      events_.push_back("{\"seq\":" + std::to_string(events_.size() + 1) + "," + what + "}");
+    ++generation_;
+    for (const int descriptor : followers_) {
+      send_all(descriptor, first);
+      ::shutdown(descriptor, SHUT_RDWR);
+    }
+    changed_.notify_all();
+  }
+  std::function<void()> on_asked;  // before the head
   std::function<void(int descriptor)> on_follow;
   std::function<void(long long number)> on_sent;
 
@@ -301,10 +316,16 @@
                    [](unsigned char c) { return std::tolower(c); });
     const auto at = lower.find("last-event-id:");
     if (at != std::string::npos) sent = static_cast<std::size_t>(std::atoll(lower.c_str() + at + 14));
+    if (on_asked) on_asked();
     if (!send_all(descriptor, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")) return;
     if (on_follow) on_follow(descriptor);
     std::unique_lock lock(mutex_);
+    followers_.insert(descriptor);
     const int generation = generation_;
+    follow(descriptor, sent, generation, lock);
+    followers_.erase(descriptor);
+  }
+  void follow(int descriptor, std::size_t sent, int generation, std::unique_lock<std::mutex>& lock) {
     while (generation == generation_) {
       std::string text;
       std::vector<long long> numbers;
@@ -326,6 +347,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<std::string> events_;
+  std::set<int> followers_;
   int generation_ = 0;
   Server server_;
 };
