Review cases 7 and 10: the drain case moves to 10, that of the change log asked again is withdrawn

Cause: a graver case of rule 1 takes a place; the withdrawn one rests on one reading of "as soon as the director asks again" and holds under the other.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the case: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 set -u
-program=asked_again
+program=drain_in_outage
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x "build/review-2/$program" ] && [ -x build/hareramp ] || { echo "build first: deploy/balancer.toml, review/build-2.sh" >&2; exit 2; }
