Clients that leave, timers and second answers no longer meet another request of the same id

Cause: the close posted client_left with the id alone, behind the second request in the mailbox. The second request was refused, and client_left then ended the first.

Change: a RequestHandle (the id and a serial number of DirectorActor's) goes with every call that crosses a mailbox or a timer and is compared where it arrives; the decisions number their requests too (policy/request_timers); a node's connection doesn't carry an id again within 1 s of its answer.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -43,6 +43,8 @@
   double final_write_delay = 0;
   // A connection to a node without attempts in flight is closed after this, before the node closes it.
   double node_idle_timeout = 0;
+  // For so long after an answer the node may send it a second time on the same connection.
+  double second_answer_window = 0;
   // A connection on which an attempt was given up is suspect if the node has sent nothing for so long.
   double suspect_timeout = 0;
   // An answer of a node that has begun is given up if no more of it arrives for so long.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,6 +31,7 @@
 #include "policy/cache_group.hpp"
 #include "policy/copy_age.hpp"
 #include "policy/part_usage.hpp"
+#include "policy/request_timers.hpp"
 #include "policy/run_history.hpp"
 
 namespace hareramp {
@@ -218,6 +219,7 @@
 
 struct Request {
   RequestId id;
+  std::uint64_t serial = 0;  // tells it from others that come under the same id
   int request_class = 0;
   std::uint64_t object = 0, part_key = 0;
   std::int64_t group = 0;
@@ -1069,7 +1071,10 @@
   }
 
   void resume_after(Request& request, Seconds pause) {
-    actions.set_timer(request.resume_at = now + pause, {"resume:" + request.id.value});
+    request.resume_at = now + pause;
+    const policy::RequestTimer timer = {
+        .purpose = policy::RequestTimer::Purpose::kResume, .request = request.id, .serial = request.serial};
+    actions.set_timer(request.resume_at, timer.token());
   }
   bool is_overdue(const Request& request) { return is_unanswered(request) && request.overdue; }
   void keep_waiting(Request& request) { request.overdue = false; }
@@ -1276,9 +1281,18 @@
     return !is_cache_kind(attempt.source) && answered_since(answered_at, serve_rate, attempt.node) &&
            answered_since(filled_at, hit_share, attempt.source);
   }
-  void handle_late_attempt(const RequestId& id, std::size_t attempt_index) {
-    if (!find_request(id) || attempt_index >= find_request(id)->attempts.size()) return;
-    Request& request = *find_request(id);
+  void handle_request_timer(const policy::RequestTimer& timer) {
+    Request* const request = find_request(timer.request);
+    if (!request || request->serial != timer.serial) return;
+    if (timer.purpose == policy::RequestTimer::Purpose::kLateAttempt)
+      return handle_late_attempt(*request, timer.attempt);
+    // Guards against a clock that rounds: a timer may fire slightly before the requested time, and no second
+    // one would follow, so that the request would be held until its deadline.
+    request->resume_at = kDistantPast;
+    touched.push_back(request->id);
+  }
+  void handle_late_attempt(Request& request, std::size_t attempt_index) {
+    if (attempt_index >= request.attempts.size()) return;
     Attempt& attempt = request.attempts[attempt_index];
     if (!attempt.in_flight || attempt.cancelled || !is_unanswered(request)) return;
     const bool first = !std::exchange(attempt.marked_late, true);
@@ -1312,13 +1326,17 @@
                  can_fill = !request.fill_failed || retry_budget >= 1;
       attempt.cancelled =
           node_ejected && can_fill && has_time_for_attempt(request) && has_attempts_left(request);
-      if (attempt.cancelled) actions.cancel(id, {static_cast<int>(attempt_index)});
+      if (attempt.cancelled) actions.cancel(request.id, {static_cast<int>(attempt_index)});
     }
-    touched.push_back(id);
+    touched.push_back(request.id);
   }
   void set_late_timer(const Request& request, std::size_t attempt_index, Seconds time) {
-    if (now + time < request.deadline)
-      actions.set_timer(now + time, {"late:" + std::to_string(attempt_index) + ":" + request.id.value});
+    if (now + time >= request.deadline) return;
+    const policy::RequestTimer timer = {.purpose = policy::RequestTimer::Purpose::kLateAttempt,
+                                        .request = request.id,
+                                        .serial = request.serial,
+                                        .attempt = attempt_index};
+    actions.set_timer(now + time, timer.token());
   }
 
   void sweep() {
@@ -1389,6 +1407,7 @@
   std::vector<std::vector<std::pair<Seconds, double>>> budget_charges;  // time and seconds of sending
 
   std::map<RequestId, Request> requests;
+  std::uint64_t last_serial = 0;  // of the request that came last
   policy::PartUsage part_usage;
   policy::RunHistory run_history;
   policy::CopyAge copy_age{0};  // replaced when the settings are read
@@ -1481,6 +1500,7 @@
   if (state.run_history.may_have_run(id)) return state.actions.fail(id);
   state.recover_origin_fraction();
   Request request;
+  request.serial = ++state.last_serial;
   request.id = id, request.request_class =
                        std::clamp(request_class.value, 0, static_cast<int>(state.request_classes.size()) - 1);
   request.object = object.value,
@@ -1578,18 +1598,7 @@
   if (token_text == "list") state.actions.watch_list();
   if (token_text == "deadlines-end") state.reconsider_all();
   if (token_text == "unseen-purges") state.log_age_bound();
-  if (token_text.starts_with("resume:")) {
-    // Guards against a clock that rounds: a timer may fire slightly before the requested time, and no second
-    // one would follow, so that the request would be held until its deadline.
-    if (Request* request = state.find_request({token_text.substr(7)})) request->resume_at = kDistantPast;
-    state.touched.push_back({token_text.substr(7)});
-  }
-  if (token_text.starts_with("late:")) {
-    const auto colon = token_text.find(':', 5);
-    if (colon != std::string::npos)
-      state.handle_late_attempt({token_text.substr(colon + 1)},
-                                static_cast<std::size_t>(std::atoi(token_text.c_str() + 5)));
-  }
+  if (const auto timer = policy::RequestTimer::parse(token)) state.handle_request_timer(*timer);
   state.apply_rules();
 }
 
--- a/src/program/limits.cpp
+++ b/src/program/limits.cpp
@@ -93,6 +93,7 @@
   limits.final_write_delay = 0.01;
   // Well below the node's own idle timeout, so that the node never closes a connection first.
   limits.node_idle_timeout = 0.7 * permissions["ConnIdleS"].number(15);
+  limits.second_answer_window = 1;
   limits.suspect_timeout = limits.connect_timeout;  // the time that a new connection would have to be set up
   // A node writes an answer in one go; this covers ten late turns of an event loop.
   limits.answer_stall_timeout = 0.4 * limits.connect_timeout;
--- a/src/routing/client_closing.cpp
+++ b/src/routing/client_closing.cpp
@@ -130,7 +130,7 @@
 
 void ClientConnection::log_closed() const {
   const auto reason = kCloseReasonNames[static_cast<std::size_t>(close_reason_)];
-  listener_.director_.log_request_event("client_closed", open_request_id_, reason);
+  listener_.director_.log_request_event("client_closed", open_request_.id, reason);
 }
 
 void ClientConnection::close_connection() {
@@ -143,7 +143,7 @@
   const bool was_awaiting_director = std::exchange(awaiting_director_, false);
   try {
     if (was_awaiting_director) label_flow(ipfix::Outcome::kCancelled, AnswerDetail::kNone);
-    if (was_awaiting_director) listener_.director_.client_left(open_request_id_);
+    if (was_awaiting_director) listener_.director_.client_left(open_request_);
   } catch (...) {  // no memory: the Director is not informed, and the request ends at its deadline
     listener_.report_failure(std::current_exception());
   }
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -228,11 +228,11 @@
 // --- answers ---
 
 template <class Work>
-void ClientConnection::post_answer(const RequestId& request, std::string_view fallback, Work work) {
+void ClientConnection::post_answer(const RequestHandle& request, std::string_view fallback, Work work) {
   try {
     mailbox_.post([this, request, fallback, work = std::move(work)]() mutable {
       try {
-        if (awaiting_director_ && request == open_request_id_) work();
+        if (awaiting_director_ && request == open_request_) work();
       } catch (...) {
         answer_with_fallback(request, fallback);
       }
@@ -242,13 +242,13 @@
   }
 }
 
-void ClientConnection::answer_with_fallback(const RequestId& request, std::string_view text) {
+void ClientConnection::answer_with_fallback(const RequestHandle& request, std::string_view text) {
   set_close_reason(CloseReason::kLacksMemory);
   listener_.report_failure(std::current_exception());
-  if (awaiting_director_ && request == open_request_id_) answer_and_close(text);
+  if (awaiting_director_ && request == open_request_) answer_and_close(text);
 }
 
-void ClientConnection::completed(const RequestId& request, Content content) {
+void ClientConnection::completed(const RequestHandle& request, Content content) {
   post_answer(request, kFailedAnswer, [this, content = std::move(content)]() mutable {
     std::string extra_headers;
     if (!content.etag.empty()) extra_headers = "ETag: \"" + content.etag + "\"\r\n";
@@ -258,7 +258,7 @@
   });
 }
 
-void ClientConnection::rejected(const RequestId& request, Seconds retry_after) {
+void ClientConnection::rejected(const RequestHandle& request, Seconds retry_after) {
   post_answer(request, kRejectedAnswer, [this, retry_after] {
     std::string extra_headers;
     const auto pause = static_cast<long long>(std::ceil(retry_after * 1000));
@@ -267,7 +267,7 @@
   });
 }
 
-void ClientConnection::failed(const RequestId& request) {
+void ClientConnection::failed(const RequestHandle& request) {
   post_answer(request, kFailedAnswer, [this] { answer(500, "", "", ipfix::Outcome::kFailed); });
 }
 
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -28,9 +28,9 @@
   ClientConnection(ClientListener& listener, transport::Socket socket);
   void start();
 
-  void completed(const RequestId& request, Content content) override;
-  void rejected(const RequestId& request, Seconds retry_after) override;
-  void failed(const RequestId& request) override;
+  void completed(const RequestHandle& request, Content content) override;
+  void rejected(const RequestHandle& request, Seconds retry_after) override;
+  void failed(const RequestHandle& request) override;
 
   // Why the director closed a connection, for the log.
   enum class CloseReason {
@@ -97,8 +97,8 @@
   // Posts `work`, which writes the Director's answer to the request; `fallback` is sent instead where memory
   // is lacking.
   template <class Work>
-  void post_answer(const RequestId& request, std::string_view fallback, Work work);
-  void answer_with_fallback(const RequestId& request, std::string_view text);
+  void post_answer(const RequestHandle& request, std::string_view fallback, Work work);
+  void answer_with_fallback(const RequestHandle& request, std::string_view text);
   bool has_request_unread() const;
   bool client_has_closed() const;
   // Whether so much is unread that the client may have closed the connection behind it.
@@ -131,7 +131,7 @@
   std::size_t pending_answer_bytes_ = 0;  // the same
   Seconds writing_since_ = transport::kNever;
   policy::MemoryCharge request_memory_;  // of the buffer and the request being read
-  RequestId open_request_id_;
+  RequestHandle open_request_;           // the one that was handed to the Director last
   std::shared_ptr<protocol::ForwardedRequest>
       forwarded_request_;           // of the request that was handed to the Director; null: there is none
   Seconds last_active_at_ = 0;      // time of the last activity
--- a/src/routing/client_request.cpp
+++ b/src/routing/client_request.cpp
@@ -187,12 +187,11 @@
   const Seconds deadline =
       Scheduler::now() + std::max(0.0, http_request_.deadline_ms / 1000 - limits.deadline_margin -
                                            listener_.scheduler_.lateness());
-  open_request_id_ = {std::move(http_request_.id)};
   forwarded_request_ = forwarded_request;
-  listener_.director_.request_arrived(open_request_id_, {static_cast<int>(class_index)}, object, target->part,
-                                      {http_request_.group}, deadline, http_request_.size_kb,
-                                      http_request_.resent, http_request_.is_put,
-                                      std::move(forwarded_request), weak_from_this());
+  open_request_ = listener_.director_.request_arrived(
+      {std::move(http_request_.id)}, {static_cast<int>(class_index)}, object, target->part,
+      {http_request_.group}, deadline, http_request_.size_kb, http_request_.resent, http_request_.is_put,
+      std::move(forwarded_request), weak_from_this());
   awaiting_director_ =
       true;  // the DirectorActor has the request; its answer comes later, through the mailbox
   return true;
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -233,46 +233,49 @@
   change_mailbox_.post([this] { director_->change_stream_followed(clock_.now()); });
 }
 
-void DirectorActor::request_arrived(const RequestId& request, RequestClassIndex request_class,
-                                    ObjectId object, PartNumber part, GroupId group, Seconds deadline,
-                                    double size_kb, bool resent, bool is_write,
-                                    std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
-                                    std::weak_ptr<ResponseSink> response_sink) {
+RequestHandle DirectorActor::request_arrived(
+    const RequestId& request, RequestClassIndex request_class, ObjectId object, PartNumber part,
+    GroupId group, Seconds deadline, double size_kb, bool resent, bool is_write,
+    std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
+    std::weak_ptr<ResponseSink> response_sink) {
+  const RequestHandle handle{request, ++last_serial_};
   ++counters_.taken;
   counters_.open = ++open_requests_;
   mailbox_.post([=, this, forwarded_request = std::move(forwarded_request),
                  response_sink = std::move(response_sink)]() mutable {
-    handle_request(request, request_class, object, part, group, deadline, size_kb, resent, is_write,
+    handle_request(handle, request_class, object, part, group, deadline, size_kb, resent, is_write,
                    std::move(forwarded_request), std::move(response_sink));
   });
+  return handle;
 }
 
-void DirectorActor::handle_request(const RequestId& id, RequestClassIndex request_class, ObjectId object,
-                                   PartNumber part, GroupId group, Seconds deadline, double size_kb,
-                                   bool resent, bool is_write,
+void DirectorActor::handle_request(const RequestHandle& handle, RequestClassIndex request_class,
+                                   ObjectId object, PartNumber part, GroupId group, Seconds deadline,
+                                   double size_kb, bool resent, bool is_write,
                                    std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
                                    std::weak_ptr<ResponseSink> response_sink) {
-  if (requests_.contains(id)) {  // the id is in use: nothing would tell the two requests apart, so the second
-                                 // fails, and the first gets its only answer
+  const RequestId& id = handle.id;
+  if (requests_.contains(id)) {  // nodes could not tell the two requests apart, so the second fails
     ++counters_.forfeited;
     log_request_event("request_ended", id, "id_in_use");
     counters_.open = --open_requests_;
-    if (const auto duplicate_sink = response_sink.lock()) duplicate_sink->failed(id);
+    if (const auto duplicate_sink = response_sink.lock()) duplicate_sink->failed(handle);
     return;
   }
   Request request;
+  request.handle = handle;
   request.forwarded_request = std::move(forwarded_request);
   request.response_sink = std::move(response_sink);
   request.deadline = std::min(deadline, deadline_cap_);
-  set_overdue_timer(id, requests_.insert_or_assign(id, std::move(request)).first->second);
+  set_overdue_timer(requests_.emplace(id, std::move(request)).first->second);
   director_->request_arrived(clock_.now(), id, request_class, {0}, object, part, group,
                              clock_.from_scheduler(deadline), size_kb, resent, is_write);
 }
 
 // Guards against a request that nothing else would ever end; the Director's own timeouts come earlier.
-void DirectorActor::set_overdue_timer(const RequestId& id, Request& request) {
-  request.overdue_timer =
-      scheduler_.at(request.deadline + limits_.deadline_guard_delay, [this, id] { end_overdue(id); });
+void DirectorActor::set_overdue_timer(Request& request) {
+  request.overdue_timer = scheduler_.at(request.deadline + limits_.deadline_guard_delay,
+                                        [this, handle = request.handle] { end_overdue(handle); });
 }
 
 // Posted to change_mailbox_, which is never held.
@@ -283,7 +286,7 @@
       if (!request.unanswered || request.deadline <= at) continue;
       scheduler_.cancel(request.overdue_timer);
       request.deadline = at;
-      set_overdue_timer(id, request);
+      set_overdue_timer(request);
     }
     director_->cap_deadlines(clock_.now(), clock_.from_scheduler(at));
   });
@@ -294,6 +297,11 @@
   return found != requests_.end() && found->second.unanswered ? &found->second : nullptr;
 }
 
+DirectorActor::Request* DirectorActor::find_unanswered(const RequestHandle& handle) {
+  Request* const request = find_unanswered(handle.id);
+  return request && request->handle == handle ? request : nullptr;
+}
+
 void DirectorActor::mark_answered(Request& request) {
   request.unanswered = false;
   scheduler_.cancel(request.overdue_timer);
@@ -309,26 +317,25 @@
     requests_.erase(found);
 }
 
-void DirectorActor::client_left(const RequestId& id) {
-  mailbox_.post([this, id] {
-    Request* request = find_unanswered(id);
+void DirectorActor::client_left(const RequestHandle& handle) {
+  mailbox_.post([this, handle] {
+    Request* request = find_unanswered(handle);
     if (!request) return;  // it was answered while this call was waiting
     mark_answered(*request);
     ++counters_.left;
-    log_request_event("request_ended", id, "client_left");
-    director_->client_disconnected(clock_.now(), id);
-    erase_if_finished(id);
+    log_request_event("request_ended", handle.id, "client_left");
+    director_->client_disconnected(clock_.now(), handle.id);
+    erase_if_finished(handle.id);
   });
 }
 
-void DirectorActor::end_overdue(const RequestId& id) {
-  mailbox_.post([this, id] {
-    Request* request = find_unanswered(id);
-    if (!request) return;
+void DirectorActor::end_overdue(const RequestHandle& handle) {
+  mailbox_.post([this, handle] {
+    if (!find_unanswered(handle)) return;
     ++counters_.overdue;
-    fail(id);
-    director_->client_disconnected(clock_.now(), id);
-    erase_if_finished(id);
+    fail(handle.id);
+    director_->client_disconnected(clock_.now(), handle.id);
+    erase_if_finished(handle.id);
   });
 }
 
@@ -359,7 +366,7 @@
     log_request_event("request_ended", id, "completed");
     if (content.same_copy) ++counters_.not_modified;
     if (const auto response_sink = request.response_sink.lock())
-      response_sink->completed(id, std::move(content));
+      response_sink->completed(request.handle, std::move(content));
   }
   const Seconds now = clock_.now(),
                 spent = now - clock_.from_scheduler(request.sent_attempts[attempt_index].sent_at);
@@ -440,7 +447,8 @@
   mark_answered(*request);
   ++counters_.bounced;
   log_request_event("request_ended", id, "rejected");
-  if (const auto response_sink = request->response_sink.lock()) response_sink->rejected(id, retry_after);
+  if (const auto response_sink = request->response_sink.lock())
+    response_sink->rejected(request->handle, retry_after);
   mailbox_.post([this, id] { erase_if_finished(id); });
 }
 
@@ -450,7 +458,7 @@
   mark_answered(*request);
   ++counters_.forfeited;
   log_request_event("request_ended", id, "failed");
-  if (const auto response_sink = request->response_sink.lock()) response_sink->failed(id);
+  if (const auto response_sink = request->response_sink.lock()) response_sink->failed(request->handle);
   mailbox_.post([this, id] { erase_if_finished(id); });
 }
 
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -20,6 +20,7 @@
 #include "policy/start_times.hpp"
 #include "protocol/events.hpp"
 #include "protocol/lines.hpp"
+#include "routing/request_handle.hpp"
 #include "routing/upstream_node.hpp"
 #include "transport/clock.hpp"
 #include "transport/mailbox.hpp"
@@ -32,9 +33,9 @@
 class ResponseSink {
  public:
   virtual ~ResponseSink() = default;
-  virtual void completed(const RequestId& request, Content content) = 0;
-  virtual void rejected(const RequestId& request, Seconds retry_after) = 0;
-  virtual void failed(const RequestId& request) = 0;
+  virtual void completed(const RequestHandle& request, Content content) = 0;
+  virtual void rejected(const RequestHandle& request, Seconds retry_after) = 0;
+  virtual void failed(const RequestHandle& request) = 0;
 };
 
 // The names behind the indexes that the settings use for request classes, zones and kinds of nodes.
@@ -70,11 +71,13 @@
                        std::function<void(bool taken)> done) override;
   void stream_lost(StreamLoss loss, Seconds lost_at, Seconds last_received) override;
   void stream_followed() override;
-  void request_arrived(const RequestId& request, RequestClassIndex request_class, ObjectId object,
-                       PartNumber part, GroupId group, Seconds deadline, double size_kb, bool resent,
-                       bool is_write, std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
-                       std::weak_ptr<ResponseSink> response_sink);
-  void client_left(const RequestId& request);
+  // Returns the handle by which the sink gets the answer, and by which the client may leave.
+  RequestHandle request_arrived(const RequestId& request, RequestClassIndex request_class, ObjectId object,
+                                PartNumber part, GroupId group, Seconds deadline, double size_kb, bool resent,
+                                bool is_write,
+                                std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
+                                std::weak_ptr<ResponseSink> response_sink);
+  void client_left(const RequestHandle& request);
   // Writes a record of the level debug about one request or its connection: the event's name, the request's
   // id (empty: none) and the reason or the result.
   void log_request_event(std::string_view event, const RequestId& request, std::string_view reason,
@@ -95,6 +98,7 @@
     bool in_flight = true;
   };
   struct Request {
+    RequestHandle handle;
     std::shared_ptr<const protocol::ForwardedRequest> forwarded_request;
     std::weak_ptr<ResponseSink> response_sink;
     Seconds deadline = 0;  // the scheduler's time
@@ -104,15 +108,18 @@
   };
   class ChangeApplier;
 
-  void handle_request(const RequestId& request, RequestClassIndex request_class, ObjectId object,
+  void handle_request(const RequestHandle& handle, RequestClassIndex request_class, ObjectId object,
                       PartNumber part, GroupId group, Seconds deadline, double size_kb, bool resent,
                       bool is_write, std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
                       std::weak_ptr<ResponseSink> response_sink);
   void handle_attempt_end(const RequestId& request, AttemptNumber number, const NodeId& node, Result result,
                           AnswerDetail detail, Seconds waited, const LoadReport& report, Content content);
-  void end_overdue(const RequestId& request);
-  void set_overdue_timer(const RequestId& id, Request& request);
+  void end_overdue(const RequestHandle& handle);
+  void set_overdue_timer(Request& request);
+  // The request that is open under this id, if it is still owed an answer.
   Request* find_unanswered(const RequestId& request);
+  // The same, but not another request under the same id.
+  Request* find_unanswered(const RequestHandle& handle);
   void mark_answered(Request& request);
   void erase_if_finished(const RequestId& request);
   void count_result(Result result);
@@ -147,9 +154,10 @@
   bool change_backlog_ = false;  // the change stream had more to read when its last changes arrived
   UpstreamResources upstream_resources_;
   std::size_t open_requests_ = 0;
+  std::uint64_t last_serial_ = 0;  // see RequestHandle
   std::map<NodeId, std::shared_ptr<UpstreamNode>> upstream_nodes_;
   std::map<NodeId, transport::Address> addresses_;
-  std::map<RequestId, Request> requests_;
+  std::map<RequestId, Request> requests_;  // until answered, and all attempts have ended
   policy::StartTimes start_times_;
   policy::AddressOwners address_owners_;
   std::unique_ptr<Director> director_;
--- a/src/routing/late_answers.hpp
+++ b/src/routing/late_answers.hpp
@@ -1,6 +1,6 @@
 // The requests for which a connection to a node may still bring an answer although their attempt has ended:
-// it was given up, or has been answered and not completed, so that a second answer may follow. Until then the
-// connection must not carry the same id again, as the two answers could not be distinguished.
+// it was given up, or has been answered, and a second answer may follow. Until then the connection must not
+// carry the same id again, as the two answers could not be distinguished.
 #pragma once
 
 #include <cstddef>
--- a/src/routing/upstream_node.cpp
+++ b/src/routing/upstream_node.cpp
@@ -27,6 +27,7 @@
         read_buffer(limits.retained_buffer),
         read_memory(owner.answer_memory()),
         late_answers(owner.resources_.expected_late_answers),
+        second_answers(owner.resources_.expected_late_answers),
         parser(limits.max_answer_line, limits.max_answer_body) {}
 
   void answer(std::string_view id, Result result, AnswerDetail detail, Seconds waited, bool same_copy,
@@ -46,10 +47,9 @@
     const bool rejected = result == Result::kRejected && detail == AnswerDetail::kNone;
     if (rejected && !served && !std::exchange(retiring, true)) ++node.counters_.links_turned_away;
     served = served || !rejected;
-    if (result != Result::kCompleted) {  // the request may be retried, and its answer may arrive twice
-      late_answers.expect(request, Scheduler::now());
-      node.limit_late_answers();
-    }
+    // The answer may arrive twice, and the request be retried or another come under its id.
+    (result == Result::kCompleted ? second_answers : late_answers).expect(request, Scheduler::now());
+    node.limit_late_answers();
     Content content{same_copy, std::string(tag), std::string(body), detail, node.answer_memory()};
     content.memory.resize(body.size());
     node.end_attempt(weak_self.lock(), request, result, detail, waited, report, std::move(content));
@@ -63,6 +63,16 @@
                         [&](const UpstreamMessage& message) { return message.request == request; });
   }
 
+  // Whether the node may still answer an earlier attempt under this id on this connection.
+  bool may_answer(const RequestId& request, Seconds now) {
+    const Limits& limits = node.limits_;
+    late_answers.expire(now - limits.node_idle_timeout);
+    second_answers.expire(now - limits.second_answer_window);
+    return late_answers.expects(request) || second_answers.expects(request);
+  }
+
+  std::size_t expected_answers() const { return late_answers.size() + second_answers.size(); }
+
   UpstreamNode& node;
   std::weak_ptr<UpstreamConnection> weak_self;
   State state = State::kConnecting;
@@ -70,7 +80,8 @@
   flow::FlowObserver* flow_observer = nullptr;  // owned by the socket; null once that is closed
   transport::Buffer read_buffer;
   policy::MemoryCharge read_memory;  // of the answer in read_buffer
-  LateAnswers late_answers;
+  LateAnswers late_answers;          // to attempts that did not complete
+  LateAnswers second_answers;        // to attempts that did
   protocol::AnswerParser parser;
   std::deque<UpstreamMessage> outgoing;
   std::size_t first_message_bytes_written = 0;  // bytes written of the first message in outgoing
@@ -183,15 +194,14 @@
 
 UpstreamNode::ConnectionPointer UpstreamNode::least_loaded_connection(const RequestId& request,
                                                                       bool must_be_up) {
-  const Seconds expired_before = Scheduler::now() - limits_.node_idle_timeout;
+  const Seconds now = Scheduler::now();
   ConnectionPointer least_loaded;
   for (const ConnectionPointer& connection : connections_) {
     if (must_be_up && connection->state != UpstreamConnection::State::kUp) continue;
     if (connection->retiring || connection->suspect ||
         connection->open_attempts.size() >= limits_.max_attempts_per_connection)
       continue;
-    connection->late_answers.expire(expired_before);
-    if (connection->open_attempts.contains(request) || connection->late_answers.expects(request)) continue;
+    if (connection->open_attempts.contains(request) || connection->may_answer(request, now)) continue;
     if (connection->open_attempts.empty() && connection->state == UpstreamConnection::State::kUp &&
         connection->socket.closed_by_peer())
       continue;
@@ -305,7 +315,7 @@
   if (resources_.expected_late_answers <= limits_.max_expected_late_answers) return;
   ConnectionPointer largest;
   for (const ConnectionPointer& connection : connections_)
-    if (!connection->retiring && (!largest || connection->late_answers.size() > largest->late_answers.size()))
+    if (!connection->retiring && (!largest || connection->expected_answers() > largest->expected_answers()))
       largest = connection;
   if (!largest) return;
   largest->retiring = true;
@@ -344,6 +354,7 @@
   connection->flow_observer = nullptr;  // destroyed when the socket closes
   connection->socket.close();
   connection->late_answers.clear();
+  connection->second_answers.clear();
   if (!connection->open_attempts.empty()) ++counters_.links_broken;
   remove_connection(connection);
   end_attempts(connection, Result::kBroken, Result::kNotSent, true);
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -895,3 +895,33 @@
   CHECK(trace.find("w1: attempt") != std::string::npos);
   CHECK(trace.find("r1: attempt") != std::string::npos);
 }
+
+// Guards against nodes that count as failing, and attempts that are doubled, by a timer of an earlier
+// request.
+TEST_CASE("a timer of a request that has ended does not concern a later one under the same id") {
+  DirectorFixture fixture;
+  fixture.list(ListCompleteness::kFull, "c1 c2 P1 O");
+  fixture.request("r1", 7);
+  const Seconds late_at = fixture.timers.begin()->first;
+  REQUIRE(late_at < fixture.now + 2);
+  fixture.end_attempt("r1", 0, Result::kCompleted, AnswerDetail::kHit, 0.3);
+  fixture.run_until(late_at - 0.01);
+  fixture.take_trace();
+  fixture.node_of.clear();
+  fixture.request("r1", 8);
+  fixture.run_until(late_at + 0.01);
+  const std::string trace = fixture.take_trace();
+  CHECK_MESSAGE(std::count(trace.begin(), trace.end(), '\n') == 1, trace);
+
+  // The pause after a write that the origin rejected is over only when its own timer fires.
+  fixture.request("w1", 9, 2);
+  fixture.end_attempt("w1", 0, Result::kRejected);
+  const TimerToken old_pause = std::prev(fixture.timers.end())->second;
+  fixture.director->client_disconnected(fixture.now, {"w1"});
+  fixture.node_of.clear();
+  fixture.request("w1", 9, 2);
+  fixture.end_attempt("w1", 0, Result::kRejected);
+  fixture.take_trace();
+  fixture.director->timer_fired(fixture.now, old_pause);
+  CHECK(fixture.take_trace() == "");
+}
--- a/tests/routing/local_failures_test.cpp
+++ b/tests/routing/local_failures_test.cpp
@@ -45,9 +45,9 @@
 // Counts the answers to requests.
 class CountingSink : public ResponseSink {
  public:
-  void completed(const RequestId&, Content) override { ++served; }
-  void rejected(const RequestId&, Seconds) override { ++rejections; }
-  void failed(const RequestId&) override { ++failures; }
+  void completed(const RequestHandle&, Content) override { ++served; }
+  void rejected(const RequestHandle&, Seconds) override { ++rejections; }
+  void failed(const RequestHandle&) override { ++failures; }
   int served = 0, rejections = 0, failures = 0;
 };
 
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -364,6 +364,51 @@
   fixture.check_sums();
 }
 
+// Guards against a client that sends under the id of an open request and goes at once (issue 65, review/6).
+TEST_CASE("a client that leaves after sending an id in use takes no answer away") {
+  class CountingSink : public ResponseSink {
+   public:
+    void completed(const RequestHandle&, Content) override { ++answers; }
+    void rejected(const RequestHandle&, Seconds) override { ++answers; }
+    void failed(const RequestHandle&) override { ++answers; }
+    int answers = 0;
+  };
+  LoopbackFixture fixture;
+  const auto client = fixture.client();
+  client->send(LoopbackFixture::get(kId1));
+  fixture.expect_received(fixture.cache, "serve " + kId1);
+  const auto sink = std::make_shared<CountingSink>();
+  const auto duplicate =
+      fixture.actor->request_arrived({kId1}, {0}, {0x80}, {0}, {1}, Scheduler::now() + 15, 400, false, false,
+                                     std::make_shared<protocol::ForwardedRequest>(), sink);
+  fixture.actor->client_left(duplicate);
+  fixture.wait_until([&] { return sink->answers == 1; });
+  CHECK(!fixture.cache.has_received("cancel"));
+  fixture.cache.connections[0]->send(kId1 + " ACK - 3\r\none\r\n");
+  fixture.expect_received(*client, "one");
+  CHECK(fixture.counters.left == 0);
+  fixture.check_sums();
+}
+
+// The same for a handle that was kept while the id ended and came again.
+TEST_CASE("a client that leaves late does not end a later request under its id") {
+  LoopbackFixture fixture([](Limits& limits) { limits.max_connections_per_node = 2; });
+  const auto client = fixture.client();
+  client->send(LoopbackFixture::get(kId1));
+  fixture.expect_received(fixture.cache, "serve " + kId1);
+  const RequestHandle ended{kId1, 1};
+  fixture.cache.connections[0]->send(kId1 + " ACK - 3\r\none\r\n");
+  fixture.expect_received(*client, "one");
+  client->send(LoopbackFixture::get(kId1, "/invoke/video/82/block-0"));
+  fixture.wait_until([&] { return fixture.counters.attempts == 2; });
+  fixture.actor->client_left(ended);
+  fixture.wait_until([&] { return fixture.cache.has_received("serve " + kId1, 1); });
+  fixture.cache.connections[1]->send(kId1 + " ACK - 3\r\ntwo\r\n");
+  fixture.expect_received(*client, "two");
+  CHECK(fixture.counters.left == 0);
+  fixture.check_sums();
+}
+
 TEST_CASE("drains and purges reach the director before later requests do") {
   LoopbackFixture fixture;
   StandInServer spare(fixture.scheduler);
--- a/tests/routing/upstream_node_test.cpp
+++ b/tests/routing/upstream_node_test.cpp
@@ -302,6 +302,26 @@
   check_trace("peer_late_answer", test.upstream.trace);
 }
 
+// Guards against the answer of an earlier request being taken for that of a later one under its id.
+TEST_CASE("a second copy of an answer is not the answer to the next request under the same id") {
+  NodeAndServer test;
+  test.upstream.limits.second_answer_window = 30, test.upstream.limits.max_connections_per_node = 2;
+  test.upstream.attempt("p1");
+  test.wait_for_received("serve p1");
+  test.server.connections[0]->send("p1 ACK - 3\r\nold\r\n");
+  test.upstream.wait_for_ended(1);
+  test.upstream.attempt("p1");
+  test.upstream.attempt("p2");
+  REQUIRE(run_until(test.upstream.scheduler, [&] { return test.server.has_received("serve p1", 1); }));
+  test.wait_for_received("serve p2");
+  test.server.connections[0]->send("p1 ACK - 3\r\nold\r\np2 ACK - 3\r\ntwo\r\n");
+  test.upstream.wait_for_ended(2);
+  test.server.connections[1]->send("p1 ACK - 3\r\nnew\r\n");
+  test.upstream.wait_for_ended(3);
+  CHECK(test.upstream.trace.find("p1/0 at c1: completed 'new'") != std::string::npos);
+  CHECK(test.upstream.resources.expected_late_answers == 3);
+}
+
 TEST_CASE("a node that moves or is removed: open attempts may end, then the connections close") {
   NodeAndServer test;
   test.upstream.attempt("p1");
