A client gets an answer only while one is owed; answered requests leave no memory behind

Cause: make_room gave up "partly read requests" by their charge alone, and the body of an answered request kept its charge, and its memory: `http_request_ = HttpRequest()` frees no string. Nothing asked whether an answer was owed.

Change: owes_answer() is asked where an answer is written that ends a connection; a request is freed as it is handed over or answered; only partly read ones are given up for memory; an empty line behind a body begins no request.

--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -78,6 +78,10 @@
   }
 }
 
+bool is_empty_lines(std::string_view text) {
+  return text.find_first_not_of("\r\n") == std::string_view::npos;
+}
+
 void HttpParser::reset() {
   stage_ = Stage::kStart;
   searched_ = head_bytes_ = remaining_ = chunked_bytes_ = 0;
@@ -104,7 +108,7 @@
       stage_ = Stage::kDone;
       return Step::kDone;
     }
-    head_begun_ = head_begun_ || !rest.empty();
+    head_begun_ = head_begun_ || !(message_ == Message::kRequest ? is_empty_lines(rest) : rest.empty());
     // Lines end in CR LF. The search continues where it stopped in the last call.
     const auto end = rest.find('\n', searched_);
     const std::size_t line_bytes = end == std::string_view::npos ? rest.size() : end + 1;
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -48,7 +48,7 @@
   std::size_t missing_body() const { return remaining_; }
   // The parser is within a message's head, or before its first byte.
   bool in_head() const { return stage_ == Stage::kStart || stage_ == Stage::kHeaders; }
-  // A message has begun and not ended.
+  // A message has begun and not ended. The empty lines that may precede a request do not begin one.
   bool in_message() const { return stage_ != Stage::kDone && (stage_ != Stage::kStart || head_begun_); }
 
  private:
@@ -70,6 +70,9 @@
   bool has_length_ = false, chunked_ = false, has_host_ = false, is_http_1_0_ = false;
 };
 
+// Whether the text holds nothing but ends of lines.
+bool is_empty_lines(std::string_view text);
+
 // True if a comma-separated header value contains the token, ignoring case.
 bool has_token(std::string_view value, std::string_view token);
 bool equal_ignoring_case(std::string_view a, std::string_view b);
--- a/src/routing/client_closing.cpp
+++ b/src/routing/client_closing.cpp
@@ -53,11 +53,27 @@
 
 // --- memory ---
 
+std::size_t ClientConnection::request_bytes_held() const {
+  return input_.capacity() + http_request_.body.capacity() + http_request_.target.capacity() +
+         http_request_.cached_etag.capacity();
+}
+
+// Assigning an empty string to another may keep the memory of that one; a swap does not.
+void ClientConnection::discard_request() {
+  HttpRequest none;
+  std::swap(http_request_, none);
+}
+
+void ClientConnection::finish_reading_request() {
+  discard_request();
+  if (input_.size() == 0) input_.release();
+  // What is left are requests read ahead: no more than was charged before.
+  request_memory_.resize(std::min(request_memory_.bytes(), request_bytes_held()));
+}
+
 bool ClientConnection::charge_request_memory(std::size_t additional_bytes) {
   input_.release();
-  const std::size_t held = input_.capacity() + http_request_.body.capacity() +
-                           http_request_.target.capacity() + http_request_.cached_etag.capacity() +
-                           additional_bytes;
+  const std::size_t held = request_bytes_held() + additional_bytes;
   const std::size_t charged = held - std::min(held, listener_.limits_.uncharged_request_bytes);
   if (charged > request_memory_.bytes() && !listener_.make_room(*this, charged - request_memory_.bytes()))
     return false;
@@ -68,7 +84,7 @@
 void ClientConnection::free_request_memory() {
   input_.consume(input_.size());
   input_.release();
-  http_request_ = HttpRequest();
+  discard_request();
   request_memory_.resize(0);
 }
 
@@ -79,7 +95,7 @@
 }
 
 std::size_t ClientConnection::sheddable_bytes() const {
-  return busy_ || closing_ || closed_ ? 0 : request_memory_.bytes();
+  return !busy_ && !closing_ && !closed_ && parser_.in_message() ? request_memory_.bytes() : 0;
 }
 
 void ClientConnection::shed() {
@@ -111,10 +127,7 @@
   if (busy_ && !drain_bytes_left_) drain_bytes_left_ = input_.size() + socket_.unread();
   if (busy_ || closing_ || has_request_unread()) return;
   set_close_reason(CloseReason::kShutdown);
-  if (parser_.in_message())
-    reject_and_close();
-  else
-    begin_lingering_close();
+  reject_and_close();
 }
 
 void ClientConnection::set_close_reason(CloseReason reason) {
@@ -161,7 +174,7 @@
 // client still sends is read and discarded: closing with unread bytes would reset the connection, and destroy
 // an answer on its way.
 void ClientConnection::begin_lingering_close() {
-  busy_ = false;
+  busy_ = answer_begun_ = false;
   keep_alive_ = false;
   closing_ = true;
   last_active_at_ = Scheduler::now();
--- a/src/routing/client_connection.cpp
+++ b/src/routing/client_connection.cpp
@@ -54,9 +54,11 @@
   pollfd poll_request{socket.descriptor(), POLLRDHUP, 0};
   return ::poll(&poll_request, 1, 0) > 0 && (poll_request.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
+// Whether more is unread than the empty lines that a client may send behind a request.
 bool has_unread(const transport::Socket& socket) {
-  char byte;
-  return ::recv(socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  std::array<char, 64> bytes;
+  const ssize_t count = ::recv(socket.descriptor(), bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+  return count > 0 && !protocol::is_empty_lines({bytes.data(), static_cast<std::size_t>(count)});
 }
 
 }  // namespace
@@ -124,10 +126,8 @@
       co_await self->resumed_.wait();  // the open request still gets its answer; reading resumes after that
     else if (self->closing_)
       break;
-    else if (self->parser_.in_message() || has_unread(self->socket_))
-      self->reject_and_close();
     else
-      self->begin_lingering_close();
+      self->reject_and_close();
   }
   self->close_connection();
 }
@@ -204,8 +204,7 @@
       case HttpParser::Step::kHead:
         if (!charge_request_memory(parser_.missing_body())) return shed();
         http_request_.body.reserve(parser_.missing_body());
-        if (parser_.expects_continue() && input_.size() == 0)
-          socket_.write_now("HTTP/1.1 100 Continue\r\n\r\n");
+        if (parser_.expects_continue() && input_.size() == 0) write_continue();
         break;
       case HttpParser::Step::kDone:
         // Guards against a stated length that is too short: what follows is then the rest of the body, and
@@ -227,6 +226,19 @@
 
 // --- answers ---
 
+// The client sends the body all the same if it gets no interim answer. Part of one would spoil the answer
+// that follows.
+void ClientConnection::write_continue() {
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::size_t written = socket_.write_now(kContinue).bytes;
+  if (written > 0 && written < kContinue.size()) abort_answer(CloseReason::kSlowReader);
+}
+
+bool ClientConnection::owes_answer() const {
+  if (busy_) return !answer_begun_;
+  return !closing_ && (parser_.in_message() || has_request_unread());
+}
+
 template <class Work>
 void ClientConnection::post_answer(const RequestHandle& request, std::string_view fallback, Work work) {
   try {
@@ -314,6 +326,7 @@
     closing_ = true;
     set_close_reason(CloseReason::kAfterAnswer);
   }
+  finish_reading_request();
   listener_.counters_.bytes_answered += bytes.size();
   std::string head = protocol::http_response_head(status, extra_headers, bytes.size(), keep_alive_);
   listener_.scheduler_.spawn(write(shared_from_this(), std::move(head), std::move(bytes)));
@@ -321,16 +334,20 @@
 
 void ClientConnection::reject_and_close() { answer_and_close(kRejectedAnswer); }
 
-// Ends the open request and the connection with a final answer, without allocating memory. Requests that were
-// read ahead are dropped: the answer says that the connection closes.
+// Ends the connection, and the request that is open or being read with a final answer, without allocating
+// memory. Requests that were read ahead are dropped: the answer says that the connection closes. Where no
+// answer is owed, the connection ends without one.
 void ClientConnection::answer_and_close(std::string_view text) {
   if (closed_) return;
+  if (busy_ && answer_begun_) return abort_answer(CloseReason::kLacksMemory);
+  const bool owed = owes_answer();
   if (forwarded_request_)
     forwarded_request_->client_gone = true;  // whether or not the request has reached the Director
   forwarded_request_.reset();
   awaiting_director_ = false;
   free_request_memory();
-  if (!socket_.write_now(text).ok()) return close_connection();
+  free_answer_memory();
+  if (owed && !socket_.write_now(text).ok()) return close_connection();
   begin_lingering_close();
   resumed_.notify();
 }
@@ -347,6 +364,7 @@
   }
   bytes = std::string();
   self->listener_.pending_answer_bytes_ += self->pending_answer_bytes_ = size;
+  self->answer_begun_ = true;
   IoResult io = self->socket_.write_now(head);
   if (io.status == IoStatus::kTimedOut) {
     self->writing_since_ = Scheduler::now();
@@ -363,7 +381,7 @@
     co_return;
   }
   self->last_active_at_ = Scheduler::now();
-  self->busy_ = false;
+  self->busy_ = self->answer_begun_ = false;
   if (self->closing_) self->begin_lingering_close();  // the client reads the answer before it sees the close
   self->advance();
   self->resumed_.notify();
--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -56,7 +56,7 @@
   bool evict();
   // Gives up a partly read request, with a rejection, so that its memory is free for others.
   void shed();
-  // Memory of a request that is being read, which shed() would free; 0 if there is none.
+  // Memory of a partly read request, which shed() would free; 0 if there is none.
   std::size_t sheddable_bytes() const;
   // Since when an answer is being written to a client that has not taken all of it; kNever: none is.
   Seconds writing_since() const { return writing_since_; }
@@ -84,12 +84,20 @@
   // Charges the memory that the requests being read take, and additional_bytes that are about to be
   // allocated for them. False: there is no room for it.
   bool charge_request_memory(std::size_t additional_bytes);
+  std::size_t request_bytes_held() const;
+  // To be called once a request is handed over or answered: until the next one begins, nothing is kept of it.
+  void finish_reading_request();
+  void discard_request();
   void free_request_memory();
   void free_answer_memory();
+  // Whether the client is owed an answer of which nothing has been written: to an open request, to a partly
+  // read one, or to one that waits in the socket. Nothing is ever written while this is false.
+  bool owes_answer() const;
   void read_requests();
   void serve();
   bool serve_request();
   void refuse(int status);
+  void write_continue();
   void answer(int status, std::string_view extra_headers, std::string bytes,
               ipfix::Outcome outcome = ipfix::Outcome::kNone, AnswerDetail detail = AnswerDetail::kNone);
   void begin_answer(int status, std::string_view extra_headers, std::string bytes, ipfix::Outcome outcome,
@@ -136,6 +144,7 @@
       forwarded_request_;           // of the request that was handed to the Director; null: there is none
   Seconds last_active_at_ = 0;      // time of the last activity
   bool busy_ = false;               // a request is being answered
+  bool answer_begun_ = false;       // part of the answer to that request may have been written
   bool awaiting_director_ = false;  // the Director has not yet answered the open request
   bool keep_alive_ = true;
   // While the process shuts down: how much of what had arrived by then is still to be parsed.
--- a/src/routing/client_request.cpp
+++ b/src/routing/client_request.cpp
@@ -192,6 +192,7 @@
       {std::move(http_request_.id)}, {static_cast<int>(class_index)}, object, target->part,
       {http_request_.group}, deadline, http_request_.size_kb, http_request_.resent, http_request_.is_put,
       std::move(forwarded_request), weak_from_this());
+  finish_reading_request();
   awaiting_director_ =
       true;  // the DirectorActor has the request; its answer comes later, through the mailbox
   return true;
