Old copies stay bounded until every node has dropped them, not until the change stream answers

Cause: Subscription called the stream followed at the first bytes of a body, and UnseenPurges took everything missed for arrived. Nothing in the stream shows that: the newest number isn't told, comments come whether or not events wait, and the times in purges are of another clock.

Change: the bound ends when every node has dropped what such a purge names (PurgeDoneS), also when nothing was missed. The fact is when the source that answers was asked; purges from before count from then on, and have half of PurgeSlackS to arrive.

Tests that were wrong: "followed again ends the bound" (two) checked the fault; they are replaced by ones with the bound to the millisecond after a comment and after a part, and its end.

--- a/experiments/capacity/recorder.hpp
+++ b/experiments/capacity/recorder.hpp
@@ -36,7 +36,7 @@
   void stream_lost(StreamLoss loss, transport::Seconds lost_at, transport::Seconds last_received) override {
     receiver_.stream_lost(loss, lost_at, last_received);
   }
-  void stream_followed() override { receiver_.stream_followed(); }
+  void stream_followed(transport::Seconds asked_at) override { receiver_.stream_followed(asked_at); }
   const PurgeRecord& record() const { return record_; }
 
  private:
--- a/src/distribution/change_receiver.hpp
+++ b/src/distribution/change_receiver.hpp
@@ -31,8 +31,9 @@
   // changes that arrived before, and only posts to a mailbox. Receivers that decide nothing by it ignore it.
   virtual void stream_lost(StreamLoss /*loss*/, transport::Seconds /*lost_at*/,
                            transport::Seconds /*last_received*/) {}
-  // The stream is followed, for the first time or again, and what has been read of it has been passed on.
-  virtual void stream_followed() {}
+  // The stream is followed, for the first time or again; see Director::change_stream_followed. asked_at is
+  // the scheduler's time. What has been read of the stream has been passed on before.
+  virtual void stream_followed(transport::Seconds /*asked_at*/) {}
 };
 
 }  // namespace hareramp::distribution
--- a/src/distribution/subscription.cpp
+++ b/src/distribution/subscription.cpp
@@ -143,6 +143,7 @@
                               "\r\nAccept: text/event-stream\r\n" +
                               (owner_.options_.compressed ? "Accept-Encoding: gzip\r\n" : "") +
                               "Last-Event-ID: " + std::to_string(owner_.last_accepted_) + "\r\n\r\n";
+  const Seconds asked_at = Scheduler::now();
   const IoResult sent = co_await socket_.write(request, deadline);
   if (!sent.ok()) co_return;
   protocol::HttpParser parser(protocol::HttpParser::Message::kResponse,
@@ -172,7 +173,7 @@
     const bool more_available = io.bytes >= limits.change_stream_read_size;
     if (!batch_.empty()) co_await deliver_batch(more_available);
     if (step != protocol::HttpParser::Step::kMore || broken_ || stopped_) co_return;
-    if (has_body_ && !more_available && event_parser_.between_events()) owner_.report_followed();
+    if (has_body_ && !more_available && event_parser_.between_events()) owner_.report_followed(asked_at);
   }
 }
 
@@ -256,8 +257,8 @@
   receiver_.stream_lost(loss, Scheduler::now() - scheduler_.lateness(), last_received_at_);
 }
 
-void Subscription::report_followed() {
-  if (!std::exchange(followed_, true)) receiver_.stream_followed();
+void Subscription::report_followed(Seconds asked_at) {
+  if (!std::exchange(followed_, true)) receiver_.stream_followed(asked_at);
 }
 
 void Subscription::handle_batch(std::vector<Event> events, bool first_of_connection, bool more_available,
--- a/src/distribution/subscription.hpp
+++ b/src/distribution/subscription.hpp
@@ -77,7 +77,7 @@
   static transport::Task<> run_mailbox(Subscription& self);
   void report_failure(const std::string& reason);
   void report_loss(StreamLoss loss);
-  void report_followed();
+  void report_followed(transport::Seconds asked_at);
 
   transport::Scheduler& scheduler_;
   const Limits& limits_;
--- a/src/lab/world/director_policy.cpp
+++ b/src/lab/world/director_policy.cpp
@@ -46,7 +46,7 @@
   void change_stream_lost(Seconds now) override {
     director_.change_stream_lost(now, StreamLoss::kBroken, now, now);
   }
-  void change_stream_followed(Seconds now) override { director_.change_stream_followed(now); }
+  void change_stream_followed(Seconds now) override { director_.change_stream_followed(now, now); }
   void timer_fired(Seconds now, const TimerToken& token) override { director_.timer_fired(now, token); }
 
  private:
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,6 +22,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <unordered_map>
@@ -343,7 +344,8 @@
     max_attempts = number_setting("Permissions.MaxAttempts", 1);
     max_retry_after = std::min(kMaxRetryAfter, number_setting("Permissions.MaxRetryAfterS", 0));
     clock_period = number_setting("PeriodS", 0.001);
-    copy_age = policy::CopyAge(number_setting("FamilyInfo.PurgeDoneS", 10));
+    copy_age = policy::CopyAge(number_setting("FamilyInfo.PurgeDoneS", 10),
+                               number_setting("FamilyInfo.PurgeSlackS", 0));
     parent_warmup_time = number_setting("FamilyInfo.ParentWarmsInS", 20),
     cache_warmup_time = number_setting("Contract.ColdS", 20);
     parent_start_fraction = number_setting("FamilyInfo.ParentColdFrom", 0.05),
@@ -913,16 +915,16 @@
     return choose_cache(request);
   }
 
-  // Logged once for each loss of the change stream that lasts long enough to matter.
+  // Logged as the bound begins and as it ends, not each time that a further loss moves it.
   void log_age_bound() {
-    if (age_bound_logged || !copy_age.unseen_purges().latest_purge(now)) return;
-    age_bound_logged = true;
-    actions.log("change stream lost: copies from before are fetched again");
+    const std::optional<Seconds> latest_purge = copy_age.unseen_purges().latest_purge(now);
+    if (latest_purge) set_unseen_purges_timer(copy_age.unseen_purges().ends_at(*latest_purge) + clock_period);
+    if (std::exchange(age_bound_logged, latest_purge.has_value()) == latest_purge.has_value()) return;
+    actions.log(latest_purge ? "change stream lost: copies from before are fetched again"
+                             : "change stream: copies are used again whatever their age");
   }
-  void follow_change_stream() {
-    copy_age.unseen_purges().stream_followed();
-    if (std::exchange(age_bound_logged, false))
-      actions.log("change stream followed: copies are used again whatever their age");
+  void set_unseen_purges_timer(std::optional<Seconds> at) {
+    if (at) actions.set_timer(std::max(now, *at), {"unseen-purges"});
   }
 
   void send_attempt(Request& request, const Route& route) {
@@ -1392,7 +1394,7 @@
   std::pair<Seconds, double> fill_slowdown;
   int fills_measured = 0;
   bool link_is_reported = false;
-  bool age_bound_logged = false;  // for the present loss of the change stream
+  bool age_bound_logged = false;  // the log says that copies are bounded in age
 
   // One entry per node, by the index of the node. Rates are in KB per second.
   std::unordered_map<std::string, int> node_index;
@@ -1410,7 +1412,7 @@
   std::uint64_t last_serial = 0;  // of the request that came last
   policy::PartUsage part_usage;
   policy::RunHistory run_history;
-  policy::CopyAge copy_age{0};  // replaced when the settings are read
+  policy::CopyAge copy_age{0, 0};  // replaced when the settings are read
 };
 
 // Evaluated in this order, starting again at the top after each rule that applies. Each rule is a condition
@@ -1578,10 +1580,12 @@
 
 void Director::change_stream_lost(Seconds now, StreamLoss loss, Seconds lost_at, Seconds last_received) {
   State& state = state_->advance_to(now);
-  if (const auto notified_at = state.copy_age.unseen_purges().stream_lost(loss, lost_at, last_received))
-    state.actions.set_timer(std::max(now, *notified_at), {"unseen-purges"});
+  state.set_unseen_purges_timer(state.copy_age.unseen_purges().stream_lost(loss, lost_at, last_received));
+}
+void Director::change_stream_followed(Seconds now, Seconds asked_at) {
+  State& state = state_->advance_to(now);
+  state.set_unseen_purges_timer(state.copy_age.unseen_purges().stream_followed(asked_at));
 }
-void Director::change_stream_followed(Seconds now) { state_->advance_to(now).follow_change_stream(); }
 
 // The time of a purge is stored, not its age: age bounds are computed from it when a request is sent.
 void Director::object_purged(Seconds now, ObjectId object, Seconds age) {
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -145,8 +145,9 @@
   // such as a simulator, calls neither of these. lost_at: when the loss happened. last_received: when the
   // stream last delivered anything; before every time: never.
   void change_stream_lost(Seconds now, StreamLoss loss, Seconds lost_at, Seconds last_received);
-  // The change stream is followed again: all changes that were missed have been passed on.
-  void change_stream_followed(Seconds now);
+  // The change stream is followed, for the first time or again: its source answers. asked_at: when it was
+  // asked for the changes that were missed. They may still arrive later, all of them or some.
+  void change_stream_followed(Seconds now, Seconds asked_at);
   void object_purged(Seconds now, ObjectId object, Seconds age);
   void group_purged(Seconds now, GroupId group, Seconds age);
   void timer_fired(Seconds now, const TimerToken& token);
--- a/src/policy/copy_age.cpp
+++ b/src/policy/copy_age.cpp
@@ -9,10 +9,14 @@
 constexpr Seconds kMinCopyAge = 1e-5;
 // Purges that arrived count for this much longer: they were issued a little before they arrived.
 constexpr Seconds kDeliveryMargin = 1;
+// Fraction of the purge slack that purges have to arrive after the stream's source was asked for them; the
+// rest is for attempts on their way to a node.
+constexpr double kArrivalFraction = 0.5;
 }  // namespace
 
-CopyAge::CopyAge(Seconds purge_lifetime)
-    : invalidations_(purge_lifetime + kDeliveryMargin), unseen_purges_(purge_lifetime) {}
+CopyAge::CopyAge(Seconds purge_lifetime, Seconds purge_slack)
+    : invalidations_(purge_lifetime + kDeliveryMargin),
+      unseen_purges_(purge_lifetime, kArrivalFraction * purge_slack) {}
 
 Seconds CopyAge::max_age(Seconds now, ObjectId object, GroupId group, const CopyLifetimes& lifetimes,
                          bool accepts_stale) const {
--- a/src/policy/copy_age.hpp
+++ b/src/policy/copy_age.hpp
@@ -17,8 +17,9 @@
 
 class CopyAge {
  public:
-  // purge_lifetime: seconds after which every node has dropped the copies that a purge names.
-  explicit CopyAge(Seconds purge_lifetime);
+  // purge_lifetime: seconds after which every node has dropped the copies that a purge names. purge_slack:
+  // seconds after the notification of a purge for which older copies may still be served.
+  CopyAge(Seconds purge_lifetime, Seconds purge_slack);
 
   Invalidations& invalidations() { return invalidations_; }
   UnseenPurges& unseen_purges() { return unseen_purges_; }
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -229,8 +229,9 @@
   });
 }
 
-void DirectorActor::stream_followed() {
-  change_mailbox_.post([this] { director_->change_stream_followed(clock_.now()); });
+void DirectorActor::stream_followed(Seconds asked_at) {
+  change_mailbox_.post(
+      [this, asked_at] { director_->change_stream_followed(clock_.now(), clock_.from_scheduler(asked_at)); });
 }
 
 RequestHandle DirectorActor::request_arrived(
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -70,7 +70,7 @@
   void changes_arrived(std::vector<distribution::NumberedChange> changes, bool more_waits,
                        std::function<void(bool taken)> done) override;
   void stream_lost(StreamLoss loss, Seconds lost_at, Seconds last_received) override;
-  void stream_followed() override;
+  void stream_followed(Seconds asked_at) override;
   // Returns the handle by which the sink gets the answer, and by which the client may leave.
   RequestHandle request_arrived(const RequestId& request, RequestClassIndex request_class, ObjectId object,
                                 PartNumber part, GroupId group, Seconds deadline, double size_kb, bool resent,
--- a/tests/wall_clock/change_stream_test.cpp
+++ b/tests/wall_clock/change_stream_test.cpp
@@ -88,14 +88,29 @@
     source.connections[0]->close();
     turn();
   }
-  void end_outage() {
+  // The source answers with these bytes behind the head, and with comments from then on.
+  void end_outage(const std::string& first_bytes) {
     const std::size_t before = source.connections.size();
     handled = kMostTurns;  // the test answers from now on
     while (source.connections.size() == before) advance_to(Scheduler::now() + kStep);
     REQUIRE(turn_until([&] { return source.has_received("\r\n\r\n", before); }));
-    source.connections[before]->send(kHead + ": comment\n\n");
+    source.connections[before]->send(kHead + first_bytes);
     turn();
   }
+  // A bound on copies from before `asked_at`, until every node has dropped them, while comments come.
+  void check_bounded_since(Seconds asked_at) {
+    const auto& connection = source.connections.back();
+    for (const Seconds age : {kMargin, 1.0, 2.0, 3.0, 4.0, 5.0, kNodesDrop - kMargin}) {
+      advance_to(asked_at + age);
+      CHECK(std::abs(age_bound() - static_cast<int>(age * 1000)) <= 1);
+      connection->send(": comment\n\n");
+    }
+    for (const Seconds age : {kNodesDrop + kMargin, 7.0, 8.0, 9.0}) {
+      advance_to(asked_at + age);
+      CHECK(age_bound() == -1);
+      connection->send(": comment\n\n");
+    }
+  }
   // The age bound, in ms, of an attempt for a new request; -1: none.
   int age_bound() {
     const int number = ++requests;
@@ -185,21 +200,72 @@
   fixture.check_bounded_from(broken_at + 2);
 }
 
-TEST_CASE("a change stream that is followed again ends the bound on the age of copies") {
-  for (const Outage outage : {Outage::kBreaksOff, Outage::kSilent}) {
-    for (const Seconds lasts : {1.0, 3.0}) {
-      StreamFixture fixture;
-      const StoppedClock clock;
-      fixture.follow_stream();
-      fixture.outage = outage;
-      fixture.break_stream(kHalfEvent);
-      const Seconds broken_at = Scheduler::now();
-      fixture.advance_to(broken_at + lasts);
-      CHECK((fixture.age_bound() >= 0) == (lasts > 2));
-      fixture.end_outage();
-      CHECK(fixture.age_bound() == -1);
+// Guards against a bound that ends with the first bytes of a stream, before what was missed has arrived
+// (issue 65, review/8).
+TEST_CASE("a change stream that is followed again bounds the age of copies by when it was asked") {
+  const std::string part_of_missed = kPurge + ": comment\n\n", comment = ": comment\n\n";
+  for (const std::string& first_bytes : {comment, part_of_missed}) {
+    for (const Outage outage : {Outage::kBreaksOff, Outage::kSilent}) {
+      for (const Seconds lasts : {1.0, 3.0}) {
+        StreamFixture fixture;
+        const StoppedClock clock;
+        fixture.follow_stream();
+        fixture.outage = outage;
+        fixture.break_stream(kHalfEvent);
+        fixture.advance_to(Scheduler::now() + lasts);
+        CHECK((fixture.age_bound() >= 0) == (lasts > 2));
+        fixture.end_outage(first_bytes);
+        fixture.check_bounded_since(Scheduler::now());
+      }
+    }
+  }
+}
+
+TEST_CASE("a change stream that breaks off again, or falls silent, after it was followed: the bound ends") {
+  for (const bool breaks : {false, true}) {
+    StreamFixture fixture;
+    const StoppedClock clock;
+    fixture.follow_stream();
+    fixture.break_stream(kHalfEvent);
+    fixture.advance_to(Scheduler::now() + 3);
+    fixture.end_outage(": comment\n\n");
+    const Seconds followed_at = Scheduler::now();
+    fixture.handled = fixture.source.connections.size();
+    fixture.outage = Outage::kSilent;
+    fixture.advance_to(followed_at + 1);
+    if (breaks) fixture.source.connections[fixture.handled - 1]->close();
+    fixture.advance_to(followed_at + 1.5);
+    CHECK(std::abs(fixture.age_bound() - 1500) <= 1);
+    fixture.advance_to(followed_at + 8);
+    CHECK(fixture.age_bound() >= 0);
+    fixture.advance_to(followed_at + 60);
+    CHECK(fixture.age_bound() == -1);
+  }
+}
+
+TEST_CASE("a new source that is reached at once bounds copies 4 s later, by when it was asked") {
+  StreamFixture fixture;
+  const StoppedClock clock;
+  fixture.follow_stream();
+  StandInServer moved(fixture.scheduler);
+  fixture.subscription->set_endpoints({{moved.address, "moved"}});
+  REQUIRE(fixture.turn_until([&] { return moved.has_received("\r\n\r\n"); }));
+  const Seconds asked_at = Scheduler::now();
+  const auto keep_alive_until = [&](Seconds time) {
+    while (Scheduler::now() < time) {
+      moved.connections[0]->send(": comment\n\n");
+      fixture.advance_to(std::min(time, Scheduler::now() + 1));
     }
+  };
+  moved.connections[0]->send(kHead);
+  keep_alive_until(asked_at + 4 - kMargin);
+  CHECK(fixture.age_bound() == -1);
+  for (const Seconds after : {4 + kMargin, kNodesDrop - kMargin}) {
+    keep_alive_until(asked_at + after);
+    CHECK(std::abs(fixture.age_bound() - static_cast<int>(after * 1000)) <= 1);
   }
+  keep_alive_until(asked_at + kNodesDrop + kMargin);
+  CHECK(fixture.age_bound() == -1);
 }
 
 TEST_CASE("a director that has not reached the change stream since its start bounds no copy's age") {
