Sending times are learned from answers, not from the sizes and deadlines that clients state

Change: policy::SendTimes learns a mean only from answers that brought an object in a time that fits its size; a fill source is charged with 0.7 of the mean at least; an attempt that its client's deadline cuts short says nothing about the node. Average moves to policy/average.hpp.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -29,19 +29,19 @@
 #include <utility>
 #include <vector>
 
+#include "policy/average.hpp"
 #include "policy/cache_group.hpp"
 #include "policy/copy_age.hpp"
 #include "policy/part_usage.hpp"
 #include "policy/request_timers.hpp"
 #include "policy/run_history.hpp"
+#include "policy/send_times.hpp"
 
 namespace hareramp {
 namespace {
 
-// Constants. The first six are those of the design (docs/design.md).
+// Constants. The first five, and policy::kAverageSpan, are those of the design (docs/design.md).
 
-// Time constant of the averages of rates and shares, in seconds.
-constexpr Seconds kAverageSpan = 10.0;
 // Seconds over which the bytes requested of an object are counted.
 constexpr Seconds kHotObjectSpan = 2.0;
 // Fraction of its home cache's serving rate: an object requested at a higher rate is spread over two caches.
@@ -76,8 +76,6 @@
 constexpr double kMinBudgetShare = 0.01;
 // Capacity of a link in transfers where no weight is known; deliberately low.
 constexpr double kDefaultCapacity = 2.0;
-// Sending time in seconds that is assumed before any size or answer is known.
-constexpr Seconds kDefaultSendTime = 0.3;
 // The initial limit, in transfers for each transfer that the link carries at the full rate.
 constexpr double kInitialConcurrencyFactor = 2.0;
 // Transfers in progress for each that fits the link at a fill's rate: at this reported value it is full.
@@ -154,26 +152,8 @@
 constexpr Seconds kDistantPast = -1e9;
 constexpr Seconds kDistantFuture = 1e18;
 
-// A weighted mean. Older values decay exponentially with kAverageSpan, so that `weight` reflects recent
-// samples.
-struct Average {
-  double sum = 0, weight = 0;
-  Seconds updated_at = 0;
-  void add(Seconds now, double value, double added_weight) {
-    const double fade = std::exp((updated_at - now) / kAverageSpan);
-    sum = sum * fade + value;
-    weight = weight * fade + added_weight;
-    updated_at = now;
-  }
-  bool has_data() const { return weight > 0; }
-  double mean() const { return sum / weight; }
-  double sum_per_second(Seconds now) const {
-    return sum * std::exp((updated_at - now) / kAverageSpan) / kAverageSpan;
-  }
-  double weight_per_second(Seconds now) const {
-    return weight * std::exp((updated_at - now) / kAverageSpan) / kAverageSpan;
-  }
-};
+using policy::Average;
+using policy::kAverageSpan;
 
 std::uint64_t mix(std::uint64_t value) {
   value += 0x9e3779b97f4a7c15u;
@@ -197,7 +177,7 @@
 // Whether a request may run a second time: always, while the nodes drop repeats of it, or never.
 enum class Effect { kRetryable, kDeduplicated, kNotRetryable };
 
-// Settings of a request class, and the mean sending time of its requests.
+// Settings of a request class.
 struct RequestClass {
   Seconds base_latency_target = 0.5, dedup_window = 0;
   policy::CopyLifetimes copies;
@@ -205,7 +185,6 @@
   Effect effect = Effect::kNotRetryable;  // an unknown effect is treated as the strictest
   std::string dedup_scope = "all";
   bool goes_to_origin = false;
-  Average send_times;
 };
 
 // One attempt of a request. `late_after` counts from `sent_at`; `occupies_node` while it counts towards the
@@ -256,11 +235,11 @@
   Seconds known_since = kDistantPast;     // time of the first sample that saw requests
   double max_requests_per_idle_time = 0;  // within the idle time-out of a connection, at the busiest sample
   bool is_known(Seconds now) const { return known_since > kDistantPast && now - known_since >= kAverageSpan; }
-  void sample(Seconds now, const Average& send_times, Seconds connection_idle) {
-    if (!send_times.has_data()) return;
+  void sample(Seconds now, const Average& arrivals, Seconds connection_idle) {
+    if (!arrivals.has_data()) return;
     if (known_since == kDistantPast) known_since = now;
     max_requests_per_idle_time =
-        std::max(max_requests_per_idle_time, send_times.weight_per_second(now) * connection_idle);
+        std::max(max_requests_per_idle_time, arrivals.weight_per_second(now) * connection_idle);
   }
 };
 
@@ -303,6 +282,7 @@
       request_class.goes_to_origin = list_item_setting("FamilyInfo.GoesThrough", i, "false") == "true";
       request_classes.push_back(request_class);
     }
+    send_times = policy::SendTimes(request_classes.size());
     own_zone = static_cast<int>(number_setting("Locality", 0));
     read_permissions();
     parent_kind = static_cast<int>(number_setting("FamilyInfo.ShieldKind", -1));
@@ -401,7 +381,7 @@
       statistics.capacity += full_capacity(node);
     }
     statistics.directors = directors_in_zone;
-    statistics.demand = all_send_times.sum_per_second(now);
+    statistics.demand = send_times.demand(now);
     statistics.traffic_is_known = traffic.is_known(now);
     statistics.requests_per_idle_time = traffic.max_requests_per_idle_time;
     return statistics;
@@ -560,7 +540,7 @@
   // trial correspondingly less often. The first pause is random, since all directors may have ejected the
   // node at the same moment.
   Seconds trial_pause(int node, bool first) {
-    const double attempt_work = all_send_times.has_data() ? all_send_times.mean() : kDefaultSendTime;
+    const double attempt_work = send_times.overall_mean(now).value_or(send_times.mean(0));
     const double share = budget_share(node, start_capacity(node));
     if (share >= attempt_work) return trial_backoff[node];
     const Seconds pause = budget_span * attempt_work / std::max(share, kMinBudgetShare * attempt_work);
@@ -581,7 +561,8 @@
   // Every answered request counts the same whatever its size, so small requests get a higher concurrency
   // limit and a lower admission draw.
   double size_factor(const Request& request) {
-    return std::clamp(all_send_times.mean() / send_time(request), 1 / kMaxSizeFactor, kMaxSizeFactor);
+    const std::optional<Seconds> usual = send_times.overall_mean(now);
+    return usual ? std::clamp(*usual / send_time(request), 1 / kMaxSizeFactor, kMaxSizeFactor) : 1;
   }
   bool has_concurrency(const Request& request, int node) {
     return attempts_at[node] <
@@ -643,8 +624,16 @@
   // --- estimates for a request ---
   RequestClass& request_class_of(const Request& request) { return request_classes[request.request_class]; }
   double mean_send_time(const Request& request) {
-    const Average& send_times = request_class_of(request).send_times;
-    return send_times.has_data() ? send_times.mean() : kDefaultSendTime;
+    return send_times.mean(static_cast<std::size_t>(request.request_class));
+  }
+  double mean_answered_time(const Request& request) {
+    return send_times.answered_mean(static_cast<std::size_t>(request.request_class)).value_or(0);
+  }
+  // The work that a node in slow start is charged for an attempt that reaches it.
+  double charged_work(const Request& request, int node) {
+    return is_cache_kind(node)
+               ? mean_send_time(request)
+               : send_times.charge(static_cast<std::size_t>(request.request_class), send_time(request));
   }
   double send_time(const Request& request) {
     return transfer_kb_per_s > 0 && request.size_kb > 0 ? request.size_kb / transfer_kb_per_s
@@ -654,6 +643,11 @@
     return (send_time(request) + kAttemptOverhead) *
            (duration_factor.has_data() ? duration_factor.mean() : 1.5);
   }
+  // The same for a request of the class's mean size, if that is larger: a client may state too small a size.
+  Seconds usual_duration(const Request& request) {
+    return (std::max(send_time(request), mean_answered_time(request)) + kAttemptOverhead) *
+           (duration_factor.has_data() ? duration_factor.mean() : 1.5);
+  }
   Seconds latency_target(const Request& request) {
     return request_class_of(request).base_latency_target +
            request_class_of(request).latency_target_stretch * send_time(request);
@@ -726,13 +720,12 @@
   // two the one with less of this director's work in flight. An ejected cache gets a request now and then as
   // a trial.
   Route choose_cache(const Request& request) {
-    const double work = mean_send_time(request);
     std::vector<int> candidates;
     int considered = 0;
     for (const int node : caches_for(request)) {
       if (considered == kMaxCachesPerRequest) break;
       if (!running[node] || contains(request.excluded_nodes, node) || !may_send_to(request, node) ||
-          !has_budget(node, work))
+          !has_budget(node, charged_work(request, node)))
         continue;
       if (is_ejected(node)) {
         if (trial_due(request, node)) return {node, node, node};
@@ -756,7 +749,7 @@
     // only in proportion to the fills that succeed, whatever the number of directors.
     if (request.fill_failed && !is_cache_kind(node) && retry_budget < 1) return false;
     return running[node] && !request.origin_excluded && !contains(request.excluded_sources, node) &&
-           has_budget(node, send_time(request));
+           has_budget(node, charged_work(request, node));
   }
   // Guards against a location's link that all directors fill at once, each within its own concurrency limits:
   // with each report of a full link, a smaller fraction of the requests may start a fill from outside the
@@ -844,7 +837,8 @@
   // parents need.
   bool any_parent_eligible(const Request& request) {
     for (const int node : sorted_nodes().parents)
-      if (running[node] && !is_ejected(node) && passes_bands(node) && has_budget(node, send_time(request)))
+      if (running[node] && !is_ejected(node) && passes_bands(node) &&
+          has_budget(node, charged_work(request, node)))
         return true;
     return false;
   }
@@ -931,11 +925,10 @@
     Attempt new_attempt;
     new_attempt.node = route.node, new_attempt.source = route.source, new_attempt.sent_at = now,
     new_attempt.is_trial = route.trial_node != kNoNode;
-    const double node_charge =
-        charge_budget(route.node, is_cache_kind(route.node) ? mean_send_time(request) : send_time(request));
+    const double node_charge = charge_budget(route.node, charged_work(request, route.node));
     if (!is_warming_up(route.node)) new_attempt.trial_charge = node_charge;
     if (route.source != route.node)
-      new_attempt.source_charge = charge_budget(route.source, send_time(request));
+      new_attempt.source_charge = charge_budget(route.source, charged_work(request, route.source));
     if (new_attempt.is_trial)
       next_trial[route.trial_node] =
           now + (is_ejected(route.trial_node) ? trial_pause(route.trial_node, false) : kMaxTrialInterval);
@@ -1095,13 +1088,16 @@
 
   // --- learning from outcomes ---
   void record_outcome(Request& request, Attempt& attempt, Result result, AnswerDetail detail,
-                      Seconds source_wait, Seconds elapsed) {
+                      Seconds source_wait, Seconds elapsed, bool has_content) {
     const int cache = attempt.node, source_node = attempt.source;
     const bool has_source = source_node != cache;
     const bool source_lost = detail == AnswerDetail::kSourceLost;
     if (result == Result::kCompleted || result == Result::kError || result == Result::kAbsent ||
         result == Result::kRejected)
       record_answer(cache);
+    if (result == Result::kCompleted && has_content && transfer_kb_per_s > 0 && request.size_kb > 0)
+      send_times.answered(now, static_cast<std::size_t>(request.request_class), send_time(request),
+                          elapsed - source_wait);
     switch (result) {
       case Result::kCompleted: {
         const bool filled = detail == AnswerDetail::kFilled || detail == AnswerDetail::kFilledByOrigin;
@@ -1194,7 +1190,8 @@
         retry_after_local_failure(request);
         break;
       default:
-        if (result == Result::kTimedOut) attribute_lateness(request, attempt);
+        if (result == Result::kTimedOut && !is_cut_short(request, attempt))
+          attribute_lateness(request, attempt);
     }
   }
   // Guards against a short shortage of local ports, descriptors or routes, during which a request would use
@@ -1234,6 +1231,11 @@
     fill_slowdown = {}, fills_measured = 0;
   }
 
+  // Guards against clients that state deadlines too short for any node: an attempt that ends with one says
+  // nothing about the node.
+  bool is_cut_short(const Request& request, const Attempt& attempt) {
+    return now >= request.deadline - clock_period && now - attempt.sent_at < usual_duration(request);
+  }
   // Decides which node is responsible for a late attempt: the cache if it has not answered since, otherwise
   // the source if no fill from it has arrived since. If both have, they are slow, and no other node would be
   // faster.
@@ -1351,7 +1353,7 @@
       if (!listed[node] && attempts_at[node] + attempts_from[node] == 0 &&
           now - std::max(started_at[node], answered_at[node]) > kRetention)
         node_index.erase(node_id[node].value), node_id[node] = NodeId(), zone[node] = kind[node] = -1;
-    traffic.sample(now, all_send_times, connection_idle);
+    traffic.sample(now, send_times.arrivals(), connection_idle);
     invalidate_sorted_nodes();
     actions.set_timer(now + kSweepInterval, {"sweep"});
   }
@@ -1364,6 +1366,7 @@
   Seconds now, director_started_at;
   Seconds deadline_cap = kDistantFuture;
   std::vector<RequestClass> request_classes;
+  policy::SendTimes send_times;
   int own_zone = 0, parent_kind = -1, origin_kind = -1;
   bool can_join = false, may_bypass_caches = false, may_cancel = false, may_send_concurrent_attempts = false,
        may_send_retry_after = false;
@@ -1388,7 +1391,7 @@
   // duration_factor: durations relative to send_time + kAttemptOverhead. fill_ratio: of the completed
   // attempts that named a source, those that were filled. hit_slowdown: durations of hits relative to
   // send_time.
-  Average duration_factor, origin_rate, usual_origin_wait, fill_ratio, all_send_times, false_cache_failures,
+  Average duration_factor, origin_rate, usual_origin_wait, fill_ratio, false_cache_failures,
       false_parent_failures;
   Average hit_slowdown;
   std::pair<Seconds, double> fill_slowdown;
@@ -1510,8 +1513,6 @@
   request.group = group.value, request.arrived_at = now, request.deadline = deadline,
   request.size_kb = size_kb, request.write = is_write;
   state.cap_deadline(request);
-  if (state.transfer_kb_per_s > 0 && size_kb > 0)
-    state.request_classes[request.request_class].send_times.add(now, size_kb / state.transfer_kb_per_s, 1);
   if (!state.is_write(request)) {
     const policy::PartUsage::Use use = state.part_usage.record(now, request.part_key, size_kb);
     request.requested_before = use.previous_request_at.has_value();
@@ -1519,7 +1520,9 @@
     request.hot = request.requested_before && now - *use.previous_request_at <= kHotObjectSpan &&
                   state.is_hot(request, use.recent_kb);
   }
-  state.all_send_times.add(now, state.send_time(request), 1);
+  const bool size_is_stated = state.transfer_kb_per_s > 0 && size_kb > 0;
+  state.send_times.request_arrived(now, static_cast<std::size_t>(request.request_class),
+                                   size_is_stated ? size_kb / state.transfer_kb_per_s : 0);
   // Derived from the object and the time, so that neither a client's repeat nor another director gets a
   // different draw.
   const double draw = hash_to_unit_interval(mix(object.value) + static_cast<std::uint64_t>(now / kRetention));
@@ -1551,7 +1554,7 @@
 
 void Director::attempt_ended(Seconds now, const RequestId& id, AttemptNumber number, const NodeId& node,
                              Result result, AnswerDetail detail, Seconds source_wait, Seconds elapsed,
-                             const LoadReport& report, bool request_over) {
+                             const LoadReport& report, bool request_over, bool has_content) {
   State& state = state_->advance_to(now);
   state.record_load_report(node, report);
   if (!state.find_request(id)) return;
@@ -1568,7 +1571,7 @@
                            result == Result::kNotSent || result == Result::kAbsent ||
                            result == Result::kLocalFailure;
     request.may_have_run = request.may_have_run || !never_ran;
-    state.record_outcome(request, attempt, result, detail, source_wait, elapsed);
+    state.record_outcome(request, attempt, result, detail, source_wait, elapsed, has_content);
   }
   state.touched.push_back(id);
   state.apply_rules();
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -136,9 +136,10 @@
   // A request that this cuts short is rejected if a repeat of it is harmless, and failed otherwise.
   void cap_deadlines(Seconds now, Seconds at);
   void attempt_started(Seconds now, const RequestId& request, AttemptNumber number);
+  // has_content: a completed attempt brought the object, not only that the client's copy is still valid.
   void attempt_ended(Seconds now, const RequestId& request, AttemptNumber number, const NodeId& node,
                      Result result, AnswerDetail detail, Seconds source_wait, Seconds elapsed,
-                     const LoadReport& report, bool request_over);
+                     const LoadReport& report, bool request_over, bool has_content = true);
   void probe_ended(Seconds now, const NodeId& node, Result result, const LoadReport& report);
   // The change stream was lost: purges and list changes may have been issued that do not arrive. May be
   // called again while it is lost, for each further way in which it is. A caller that receives every change,
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -361,6 +361,7 @@
   count_result(result);
   log_request_event("attempt_ended", id, kResultNames[static_cast<std::size_t>(result)], node.value);
   request.sent_attempts[attempt_index].in_flight = false;
+  const bool has_content = !content.same_copy;
   if (result == Result::kCompleted && request.unanswered) {
     mark_answered(request);
     ++counters_.completed;
@@ -371,7 +372,8 @@
   }
   const Seconds now = clock_.now(),
                 spent = now - clock_.from_scheduler(request.sent_attempts[attempt_index].sent_at);
-  director_->attempt_ended(now, id, number, node, result, detail, waited, spent, report, !request.unanswered);
+  director_->attempt_ended(now, id, number, node, result, detail, waited, spent, report, !request.unanswered,
+                           has_content);
   erase_if_finished(id);
 }
 
