A source of the change stream that answers after 2.5 s is followed

Each connection was given up after the silence timeout (1.6 s), also while its answer had not begun, so a source that takes longer for each answer was never followed. At: TEST CASE: a source that answers each request after 2.5 s is followed ERROR: CHECK( fixture.counters.purges == 2 ) values: CHECK( 1 == 2 )

Change: after a request whose answer did not begin in time the next one is waited for twice as long, 4 s at most (the time in which what a silent stream misses counts as told). The price: as long on a connection that is dead.

--- a/src/distribution/subscription.cpp
+++ b/src/distribution/subscription.cpp
@@ -22,6 +22,8 @@
 constexpr Seconds kBatchPollInterval = 0.001;     // s; a batch usually takes the receiver less
 constexpr std::size_t kMaxEventsPerBatch = 4096;  // more events in one read: not a change stream
 constexpr int kMaxBackoffDoublings = 10;          // of the delay between attempts
+// s: the longest wait for the head of a response. By then all that a silent stream misses counts as notified.
+constexpr Seconds kMaxAnswerTimeout = 4;
 }  // namespace
 
 // Connects to the endpoints in turn, one connection at a time, until stop() is called.
@@ -56,6 +58,7 @@
       if (self->stopped_) co_return;
       if (self->stream_started_) owner.report_loss(StreamLoss::kBroken);
       failures = self->stream_started_ ? 0 : failures + 1;
+      if (self->stream_started_) self->unanswered_ = 0;
       owner.endpoint_index_ = (owner.endpoint_index_ + 1) % owner.endpoints_.size();
       co_await owner.scheduler_.sleep_until(Scheduler::now() + owner.retry_delay(failures));
     }
@@ -99,6 +102,7 @@
   std::unique_ptr<protocol::GzipDecoder> decoder_;  // null: the stream is not compressed
   std::vector<Event> batch_;                        // read, not yet passed to the receiver
   transport::Signal batch_done_;
+  int unanswered_ = 0;           // connections in a row on which no response began in time
   bool is_first_batch_ = false;  // the next batch is the first of this connection
   bool stream_started_ = false;  // this connection's response had status 200
   bool has_body_ = false;        // this connection has delivered something after its response's head
@@ -143,6 +147,7 @@
                               "\r\nAccept: text/event-stream\r\n" +
                               (owner_.options_.compressed ? "Accept-Encoding: gzip\r\n" : "") +
                               "Last-Event-ID: " + std::to_string(owner_.last_accepted_) + "\r\n\r\n";
+  const Seconds answer_due = std::max(deadline, Scheduler::now() + owner_.answer_timeout(unanswered_));
   const Seconds asked_at = Scheduler::now();
   const IoResult sent = co_await socket_.write(request, deadline);
   if (!sent.ok()) co_return;
@@ -155,10 +160,12 @@
   is_first_batch_ = true;
   transport::Buffer in(limits.change_stream_read_size);
   for (;;) {
-    const IoResult io = co_await socket_.read(in, limits.change_stream_read_size,
-                                              Scheduler::now() + owner_.effective_silence_timeout());
+    const IoResult io = co_await socket_.read(
+        in, limits.change_stream_read_size,
+        stream_started_ ? Scheduler::now() + owner_.effective_silence_timeout() : answer_due);
     if (stopped_) co_return;
     if (io.status == IoStatus::kTimedOut) {
+      if (!stream_started_) ++unanswered_;
       ++owner_.counters_.log_silent;
       owner_.report_failure("no data within the silence timeout");
     }
@@ -231,6 +238,14 @@
   return options_.silence_timeout > 0 ? options_.silence_timeout : limits_.change_stream_silence_timeout;
 }
 
+// Guards against a source that is slow to answer: it would never be followed if each connection were given up
+// as early as one that falls silent. The cost: up to kMaxAnswerTimeout on a connection that is dead.
+Seconds Subscription::answer_timeout(int unanswered) const {
+  const Seconds silence = effective_silence_timeout();
+  const double longer = silence * std::exp2(std::min(unanswered, kMaxBackoffDoublings));
+  return std::min(longer, std::max(silence, kMaxAnswerTimeout));
+}
+
 // Guards against thousands of subscribers that reconnect in the same moment: each draws its own random delay,
 // and the delays grow with the number of consecutive failures.
 Seconds Subscription::retry_delay(int failures) {
--- a/src/distribution/subscription.hpp
+++ b/src/distribution/subscription.hpp
@@ -70,6 +70,8 @@
   };
   void reconnect();
   transport::Seconds effective_silence_timeout() const;
+  // How long to wait for a response to begin, after so many connections in a row on which none did.
+  transport::Seconds answer_timeout(int unanswered) const;
   transport::Seconds retry_delay(int failures);
   void handle_batch(std::vector<Event> events, bool first_of_connection, bool more_available,
                     const std::shared_ptr<Connection>& connection);
--- a/tests/wall_clock/change_stream_test.cpp
+++ b/tests/wall_clock/change_stream_test.cpp
@@ -243,6 +243,27 @@
   }
 }
 
+// Guards against a source that is never followed because each GET is given up before its answer (review/3).
+TEST_CASE("a source that answers each request after 2.5 s is followed") {
+  StreamFixture fixture;
+  const StoppedClock clock;
+  fixture.follow_stream();
+  fixture.outage = Outage::kSilent;
+  fixture.break_stream(kHalfEvent);
+  const Seconds broken_at = Scheduler::now();
+  std::vector<Seconds> asked_at(1, broken_at);  // by connection; the first is the broken one
+  while (fixture.counters.purges < 2 && Scheduler::now() < broken_at + 20) {
+    fixture.advance_to(Scheduler::now() + kStep);
+    asked_at.resize(fixture.source.connections.size(), Scheduler::now());
+    for (std::size_t i = 1; i < asked_at.size(); ++i)
+      if (Scheduler::now() >= asked_at[i] + 2.5)
+        fixture.source.connections[i]->try_send(
+            kHead + "id: 6\ndata: {\"seq\":6,\"invalidate\":{\"object\":\"98\",\"time\":1}}\n\n");
+  }
+  CHECK(fixture.counters.purges == 2);
+  CHECK(Scheduler::now() <= broken_at + 6);
+}
+
 TEST_CASE("a new source that is reached at once bounds copies 4 s later, by when it was asked") {
   StreamFixture fixture;
   const StoppedClock clock;
