--- a/src/policy/unseen_purges.cpp
+++ b/src/policy/unseen_purges.cpp
@@ -29,10 +29,7 @@
 
 std::optional<Seconds> UnseenPurges::stream_lost(StreamLoss loss, Seconds lost_at, Seconds last_received) {
   if (is_over(lost_at)) loss_.reset();
-  if (!loss_) {
-    loss_.emplace();
-    loss_->complete_until = last_received;
-  }
+  if (!loss_) loss_ = Loss{.complete_until = last_received, .asked_at = {}, .notifications = {}};
   loss_->asked_at.reset();
   if (loss == StreamLoss::kNotConnected) return std::nullopt;
   const bool moved = loss == StreamLoss::kMoved;
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -239,7 +239,7 @@
     GroupId group, Seconds deadline, double size_kb, bool resent, bool is_write,
     std::shared_ptr<const protocol::ForwardedRequest> forwarded_request,
     std::weak_ptr<ResponseSink> response_sink) {
-  const RequestHandle handle{request, ++last_serial_};
+  RequestHandle handle{request, ++last_serial_};
   ++counters_.taken;
   counters_.open = ++open_requests_;
   mailbox_.post([=, this, forwarded_request = std::move(forwarded_request),
