A node list that is too old is not used until the change stream has settled

Cause: the decisions learned that the stream was lost, but only the bound on the age of copies (policy/unseen_purges) used it. Nothing asked how old the node list is, so `running` stayed set.

Change: policy/list_staleness owns how far the list can be trusted, on the same facts as unseen_purges. It is asked where a node or source is chosen (is_allowed_by_list: caches, siblings, parents, trials, retries, hedges) and when an attempt's first byte is written (may_start_attempt), which also holds back attempts that waited for a connection while their node drained. While the list is stale the origin serves where Direct allows it, within an even share of its listed capacity (policy/origin_budget); all else is rejected at once with a Retry-After. Fills begin with a quarter of the requests.

--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -53,6 +53,8 @@
   COUNT(log_connected, "connections to the change stream")                                       \
   COUNT(log_silent, "of these, given up as silent")                                              \
   COUNT(log_lost, "times that the change stream was lost after it had been followed")            \
+  COUNT(list_stale, "1 while the node list is too old to use, because the stream is lost")       \
+  COUNT(list_stale_periods, "times that this began")                                             \
   COUNT(events, "events of the change stream")                                                   \
   COUNT(events_skipped, "of these, not understood or out of order")                              \
   COUNT(late_turns, "iterations of the event loop that started very late")                       \
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -17,6 +17,8 @@
 //                  reach the origin, a retry budget; a request that no node can take gets its final answer
 //                  at once
 //   6. ranks       copies requested once are dropped before copies requested repeatedly
+// Rule 3 bounds all of it: while the change stream is lost for too long, no cache and no parent is used
+// (policy/list_staleness.hpp).
 #include "policy.hpp"
 
 #include <algorithm>
@@ -32,6 +34,8 @@
 #include "policy/average.hpp"
 #include "policy/cache_group.hpp"
 #include "policy/copy_age.hpp"
+#include "policy/list_staleness.hpp"
+#include "policy/origin_budget.hpp"
 #include "policy/part_usage.hpp"
 #include "policy/request_timers.hpp"
 #include "policy/run_history.hpp"
@@ -133,6 +137,8 @@
 constexpr Seconds kWriteRetryDelay = 0.1;
 // Longest Retry-After in seconds; each client's is drawn between half of the maximum and all of it.
 constexpr Seconds kMaxRetryAfter = 1.0;
+// Fraction of the requests that may start a fill or reach the origin when a stale list is used again.
+constexpr double kResumedFillFraction = 0.25;
 
 // Seconds before the node list is followed again after a failure.
 constexpr Seconds kListRetryDelay = 1.0;
@@ -322,7 +328,8 @@
              {"Permissions.RetryAfter", &may_send_retry_after}})
       *value = flag_setting(name);
     max_attempts = number_setting("Permissions.MaxAttempts", 1);
-    max_retry_after = std::min(kMaxRetryAfter, number_setting("Permissions.MaxRetryAfterS", 0));
+    longest_honored_retry_after = number_setting("Permissions.MaxRetryAfterS", 0);
+    max_retry_after = std::min(kMaxRetryAfter, longest_honored_retry_after);
     clock_period = number_setting("PeriodS", 0.001);
     copy_age = policy::CopyAge(number_setting("FamilyInfo.PurgeDoneS", 10),
                                number_setting("FamilyInfo.PurgeSlackS", 0));
@@ -397,6 +404,14 @@
     return parents ? sorted_nodes().parents : sorted_nodes().own_caches;
   }
   bool is_ejected(int node) const { return ejected_since[node] > kDistantPast; }
+  // Rule 3: whether the list allows new work for the node, as an attempt or as the source of a fill.
+  bool is_allowed_by_list(int node) const {
+    return running[node] && (is_origin(node) || !list_staleness.is_stale(now));
+  }
+  bool list_allows(const NodeId& id) const {
+    const auto found = node_index.find(id.value);
+    return found != node_index.end() && is_allowed_by_list(found->second);
+  }
 
   // Reuses the index of a node that was forgotten (sweep) before the arrays grow.
   int index_of(const NodeId& id) {
@@ -724,8 +739,8 @@
     int considered = 0;
     for (const int node : caches_for(request)) {
       if (considered == kMaxCachesPerRequest) break;
-      if (!running[node] || contains(request.excluded_nodes, node) || !may_send_to(request, node) ||
-          !has_budget(node, charged_work(request, node)))
+      if (!is_allowed_by_list(node) || contains(request.excluded_nodes, node) ||
+          !may_send_to(request, node) || !has_budget(node, charged_work(request, node)))
         continue;
       if (is_ejected(node)) {
         if (trial_due(request, node)) return {node, node, node};
@@ -748,8 +763,8 @@
     // Guards against retries that keep up an overload after its cause has gone: failed fills are repeated
     // only in proportion to the fills that succeed, whatever the number of directors.
     if (request.fill_failed && !is_cache_kind(node) && retry_budget < 1) return false;
-    return running[node] && !request.origin_excluded && !contains(request.excluded_sources, node) &&
-           has_budget(node, charged_work(request, node));
+    return is_allowed_by_list(node) && !request.origin_excluded &&
+           !contains(request.excluded_sources, node) && has_budget(node, charged_work(request, node));
   }
   // Guards against a location's link that all directors fill at once, each within its own concurrency limits:
   // with each report of a full link, a smaller fraction of the requests may start a fill from outside the
@@ -837,7 +852,7 @@
   // parents need.
   bool any_parent_eligible(const Request& request) {
     for (const int node : sorted_nodes().parents)
-      if (running[node] && !is_ejected(node) && passes_bands(node) &&
+      if (is_allowed_by_list(node) && !is_ejected(node) && passes_bands(node) &&
           has_budget(node, charged_work(request, node)))
         return true;
     return false;
@@ -852,10 +867,17 @@
     if (!is_write(request) && (!link_admits(request) || !origin_admits(request))) return kNoNode;
     const int node = origin();
     return node != kNoNode && can_fill_from(request, node) &&
-                   (is_write(request) || source_has_concurrency(request, node))
+                   (is_write(request) ||
+                    (source_has_concurrency(request, node) && has_origin_budget(request, node)))
                ? node
                : kNoNode;
   }
+  // Guards against the sum of all directors at the origin while none of them may use a cache.
+  bool has_origin_budget(const Request& request, int node) {
+    if (!list_staleness.is_stale(now)) return true;
+    origin_budget.refill(now, kBudgetFraction * full_capacity(node) / directors_in_total, budget_span);
+    return origin_budget.allows(charged_work(request, node));
+  }
   Route origin_route(const Request& request) {
     Route route = any_parent_eligible(request) ? Route() : choose_cache(request);
     route.source = choose_origin(request);
@@ -920,6 +942,28 @@
   void set_unseen_purges_timer(std::optional<Seconds> at) {
     if (at) actions.set_timer(std::max(now, *at), {"unseen-purges"});
   }
+  void set_list_staleness_timer() {
+    if (const auto at = list_staleness.next_change(now))
+      actions.set_timer(std::max(now, *at), {"list-staleness"});
+  }
+  void handle_list_staleness() {
+    set_list_staleness_timer();
+    const bool stale = list_staleness.is_stale(now);
+    if (std::exchange(staleness_logged, stale) == stale) return;
+    actions.log(stale ? "change stream lost: node list stale, caches and parents are not used"
+                      : "change stream: node list in use again");
+    if (stale)
+      origin_budget.start(now, std::uniform_real_distribution<double>(0, 1)(random_engine));
+    else
+      limit_fills_after_staleness();
+  }
+  // Guards against fills by all directors at once: no copy was fetched while the list was stale, and purges
+  // that were missed make copies from before unusable. The fractions grow again with reports and answers.
+  void limit_fills_after_staleness() {
+    link_fraction = std::min(link_fraction, kResumedFillFraction);
+    origin_fraction = std::min(origin_fraction, kResumedFillFraction);
+    link_updated_at = origin_recovery_step_at = now;
+  }
 
   void send_attempt(Request& request, const Route& route) {
     Attempt new_attempt;
@@ -961,6 +1005,8 @@
     request.overdue = false;
     work_in_flight[route.node] += send_time(request);
     ++attempts_at[route.node], ++attempts_from[route.source];
+    if (is_origin(route.node) && list_staleness.is_stale(now))
+      origin_budget.charge(charged_work(request, route.node));
     actions.attempt(request.id, node_id[route.node], fill,
                     repeatable && !acts_when_late ? new_attempt.late_after : dedup_window);
     if ((repeatable && acts_when_late) || is_origin(new_attempt.node))
@@ -1040,8 +1086,16 @@
          dedup_window_left(request) > max_retry_after + expected_duration(request));
     if (!safe_to_retry) return fail(request);
     request.closed = true;
+    actions.reject(request.id, may_send_retry_after ? retry_delay(request) : 0);
+  }
+  // When the client should retry. While the list is stale: after that has ended, if that is known, as far as
+  // clients honour it. A repeat that must fit into the deduplication window is not postponed.
+  Seconds retry_delay(const Request& request) {
     const double draw = std::uniform_real_distribution<double>(0.5, 1)(random_engine);
-    actions.reject(request.id, may_send_retry_after ? draw * max_retry_after : 0);
+    if (request.may_have_run || !list_staleness.is_stale(now)) return draw * max_retry_after;
+    const std::optional<Seconds> usable_at = list_staleness.next_change(now);
+    if (!usable_at) return draw * longest_honored_retry_after;
+    return std::min(longest_honored_retry_after, *usable_at - now + draw * max_retry_after);
   }
 
   template <Route (State::*route)(const Request&)>
@@ -1377,8 +1431,8 @@
   mutable double directors_per_cache = 1;  // follows the number of cache groups
   Seconds connection_idle = 0;
   OwnTraffic traffic;
-  Seconds max_retry_after = 0, clock_period = 0, parent_warmup_time = 0, cache_warmup_time = 0,
-          budget_span = 0;
+  Seconds longest_honored_retry_after = 0, max_retry_after = 0, clock_period = 0, parent_warmup_time = 0,
+          cache_warmup_time = 0, budget_span = 0;
   std::uint64_t list_version = 1;
   mutable SortedNodes sorted;
   mutable bool nodes_are_sorted = false;
@@ -1398,6 +1452,7 @@
   int fills_measured = 0;
   bool link_is_reported = false;
   bool age_bound_logged = false;  // the log says that copies are bounded in age
+  bool staleness_logged = false;  // the log says that the list is stale
 
   // One entry per node, by the index of the node. Rates are in KB per second.
   std::unordered_map<std::string, int> node_index;
@@ -1416,6 +1471,8 @@
   policy::PartUsage part_usage;
   policy::RunHistory run_history;
   policy::CopyAge copy_age{0, 0};  // replaced when the settings are read
+  policy::ListStaleness list_staleness;
+  policy::OriginBudget origin_budget;  // used while the list is stale
 };
 
 // Evaluated in this order, starting again at the top after each rule that applies. Each rule is a condition
@@ -1454,6 +1511,11 @@
     : state_(std::make_unique<State>(now, std::move(settings), seed, actions, limits)) {}
 Director::~Director() = default;
 std::size_t Director::nodes_known() const { return state_->node_index.size(); }
+bool Director::list_is_stale(Seconds now) const { return state_->list_staleness.is_stale(now); }
+bool Director::may_start_attempt(Seconds now, const NodeId& node, const NodeId& source) {
+  const State& state = state_->advance_to(now);
+  return state.list_allows(node) && state.list_allows(source);
+}
 Seconds Director::max_copy_age(Seconds now, const RequestId& id) {
   State& state = state_->advance_to(now);
   const Request* request = state.find_request(id);
@@ -1584,10 +1646,14 @@
 void Director::change_stream_lost(Seconds now, StreamLoss loss, Seconds lost_at, Seconds last_received) {
   State& state = state_->advance_to(now);
   state.set_unseen_purges_timer(state.copy_age.unseen_purges().stream_lost(loss, lost_at, last_received));
+  state.list_staleness.stream_lost(loss, lost_at, last_received);
+  state.set_list_staleness_timer();
 }
 void Director::change_stream_followed(Seconds now, Seconds asked_at) {
   State& state = state_->advance_to(now);
   state.set_unseen_purges_timer(state.copy_age.unseen_purges().stream_followed(asked_at));
+  state.list_staleness.stream_followed(now, asked_at);
+  state.set_list_staleness_timer();
 }
 
 // The time of a purge is stored, not its age: age bounds are computed from it when a request is sent.
@@ -1605,6 +1671,7 @@
   if (token_text == "list") state.actions.watch_list();
   if (token_text == "deadlines-end") state.reconsider_all();
   if (token_text == "unseen-purges") state.log_age_bound();
+  if (token_text == "list-staleness") state.handle_list_staleness();
   if (const auto timer = policy::RequestTimer::parse(token)) state.handle_request_timer(*timer);
   state.apply_rules();
 }
--- a/src/policy.hpp
+++ b/src/policy.hpp
@@ -158,6 +158,12 @@
   // longer known.
   Seconds max_copy_age(Seconds now, const RequestId& request);
 
+  // Whether an attempt that was decided on earlier may still begin: the list may have changed since, or have
+  // become stale.
+  bool may_start_attempt(Seconds now, const NodeId& node, const NodeId& source);
+
+  // Whether the node list is too old to choose a node from (policy/list_staleness.hpp).
+  bool list_is_stale(Seconds now) const;
   // Number of listed nodes, and of nodes that have left the list whose state is still needed.
   std::size_t nodes_known() const;
 
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -417,6 +417,12 @@
   }
 }
 
+void DirectorActor::count_staleness() {
+  const bool stale = director_->list_is_stale(clock_.now());
+  if (stale && counters_.list_stale == 0) ++counters_.list_stale_periods;
+  counters_.list_stale = stale ? 1 : 0;
+}
+
 void DirectorActor::attempt(const RequestId& id, const NodeId& node, const FillOptions& fill,
                             Seconds timeout) {
   Request* request = find_unanswered(id);
@@ -470,6 +476,7 @@
     mailbox_.post([this, token] {
       director_->timer_fired(clock_.now(), token);
       counters_.nodes = director_->nodes_known();
+      count_staleness();
     });
   });
 }
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -90,6 +90,9 @@
   Seconds max_copy_age(const RequestId& request) override {
     return director_->max_copy_age(clock_.now(), request);
   }
+  bool may_start_attempt(const NodeId& node, const NodeId& source) override {
+    return director_->may_start_attempt(clock_.now(), node, source);
+  }
 
  private:
   struct SentAttempt {
@@ -123,6 +126,7 @@
   void mark_answered(Request& request);
   void erase_if_finished(const RequestId& request);
   void count_result(Result result);
+  void count_staleness();
   static transport::Task<> serve_requests(DirectorActor& self);
   static transport::Task<> serve_changes(DirectorActor& self);
   static transport::Task<> measure_memory(DirectorActor& self);
--- a/src/routing/upstream_node.cpp
+++ b/src/routing/upstream_node.cpp
@@ -452,7 +452,8 @@
 bool UpstreamNode::encode_first(const ConnectionPointer& connection) {
   UpstreamMessage& message = connection->outgoing.front();
   const Seconds now = Scheduler::now();
-  if (message.may_be_sent(now)) {
+  if (message.may_be_sent(now) &&
+      (!message.forwarded_request || observer_.may_start_attempt(node_, message.fill.source))) {
     if (message.forwarded_request)
       message.encode(now, node_, observer_.max_copy_age(message.request), limits_.final_write_delay > 0);
     return true;
--- a/src/routing/upstream_node.hpp
+++ b/src/routing/upstream_node.hpp
@@ -39,6 +39,8 @@
   // The greatest age of a copy that may answer the request at this moment, 0 for any
   // (Director::max_copy_age). Called when the first byte of an attempt is about to be written.
   virtual Seconds max_copy_age(const RequestId& request) = 0;
+  // Whether the attempt may still begin (Director::may_start_attempt). Called at the same moment.
+  virtual bool may_start_attempt(const NodeId& node, const NodeId& source) = 0;
 };
 
 // What the connections to all nodes share.
--- a/tests/routing/ends.hpp
+++ b/tests/routing/ends.hpp
@@ -37,6 +37,7 @@
     contents += content.bytes;
   }
   Seconds max_copy_age(const RequestId&) override { return 0; }
+  bool may_start_attempt(const NodeId&, const NodeId&) override { return true; }
   bool wait_until(const std::function<bool()>& condition) { return run_until(scheduler, condition); }
 
   transport::Scheduler scheduler;
--- a/tests/routing/upstream_node_test.cpp
+++ b/tests/routing/upstream_node_test.cpp
@@ -47,6 +47,7 @@
     ++ended_count;
   }
   Seconds max_copy_age(const RequestId&) override { return current_max_copy_age; }
+  bool may_start_attempt(const NodeId&, const NodeId&) override { return true; }
   void wait_for_ended(int count) {
     CHECK(run_until(scheduler, [&] { return ended_count >= count; }));
   }
