Fills grow again over 3 s after a stale list; the laboratory checks drains in an outage

Need: no flood when a whole fleet returns at once, and a checker that sees drains that count as notified although they did not arrive.

Retry-After aimed at the end of the outage brought clients back in the same half second.

Change: the fraction of requests that may start a fill grows from a tenth to all within 3 s, by time alone. Clients refused meanwhile are sent away for half to all of the time that they honour. In the laboratory a drain in an outage counts as notified 2 s after the break, and sources count like nodes.

--- a/src/lab/world/world.cpp
+++ b/src/lab/world/world.cpp
@@ -42,6 +42,7 @@
   kListChangeDelivered,  // a change of the list reaches a director
   kPurgeDelivered,       // a purge reaches a director
   kPurgeNotified,        // a purge counts as notified to a director although its change stream is lost
+  kDrainNotified,        // the same for the drain of a node
   kStreamFollowed,       // a director follows the change stream again
   kFault,                // a fault begins or ends
   kNodeRestarts,         // a node restarts after a crash by overload
@@ -510,7 +511,7 @@
     attempt.sent = now_;
     attempt.max_copy_age =
         defect_ == InjectedDefect::kIgnoresPurge ? request_class(request).fresh_lifetime : fill.max_copy_age;
-    attempt.drain_notified_at = host.drain_notified_at[attempt.node];
+    attempt.drain_notified_at = drain_notified_at(host, attempt);
     request.attempts.push_back(attempt.id);
     ++attempt_count_;
     mix_fingerprint(attempt.node * 8 + 3);
@@ -520,6 +521,12 @@
     schedule(std::max(times_out_at, now_), EventKind::kAttemptTimeout, attempt.node, attempt.id);
     attempts_.emplace(attempt.id, std::move(attempt));
   }
+  // When the director was notified that the attempt's node or its source drains; 0: it was not.
+  static Seconds drain_notified_at(const DirectorHost& host, const Attempt& attempt) {
+    const Seconds of_node = host.drain_notified_at[attempt.node],
+                  of_source = host.drain_notified_at[attempt.source];
+    return of_node == 0 || of_source == 0 ? std::max(of_node, of_source) : std::min(of_node, of_source);
+  }
   Seconds latency_to(const Node& node) const {
     return node.kind == 0   ? plan_.world.latency_to_cache
            : node.kind == 1 ? plan_.world.latency_to_parent
@@ -969,6 +976,16 @@
     schedule(stream_lost_until_, event.kind, event.index, event.id);
     return true;
   }
+  // While the change stream is lost, a drain counts as notified some time after the loss.
+  void postpone_drain(const Event& event) {
+    if (!nodes_[event.id].draining) return;
+    schedule(std::max(stream_lost_at_ + kNotifiedAfterLoss, now_), EventKind::kDrainNotified, event.index,
+             event.id);
+  }
+  void record_drain(DirectorHost& host, std::uint64_t node_index) {
+    if (nodes_[node_index].draining && host.drain_notified_at[node_index] == 0)
+      host.drain_notified_at[node_index] = now_;
+  }
   void postpone_purge(const Event& event) {
     const Seconds issued_at = purges_[event.id].at, first_notified_at = stream_lost_at_ + kNotifiedAfterLoss;
     const Seconds notified_at =
@@ -1056,6 +1073,7 @@
       case EventKind::kRequestDeadline:
         return reach_deadline(event.id);
       case EventKind::kListChangeDelivered: {
+        if (now_ < stream_lost_until_) postpone_drain(event);
         if (postpone_delivery(event)) return;
         DirectorHost& host = *hosts_[event.index];
         host.policy->list_starts(now_, ListCompleteness::kChanges);
@@ -1068,6 +1086,8 @@
         return deliver_purge(*hosts_[event.index], purges_[event.id]);
       case EventKind::kPurgeNotified:
         return record_notification(*hosts_[event.index], purges_[event.id]);
+      case EventKind::kDrainNotified:
+        return record_drain(*hosts_[event.index], event.id);
       case EventKind::kStreamFollowed:
         return hosts_[event.index]->policy->change_stream_followed(now_);
       case EventKind::kFault:
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -137,8 +137,10 @@
 constexpr Seconds kWriteRetryDelay = 0.1;
 // Longest Retry-After in seconds; each client's is drawn between half of the maximum and all of it.
 constexpr Seconds kMaxRetryAfter = 1.0;
-// Fraction of the requests that may start a fill or reach the origin when a stale list is used again.
-constexpr double kResumedFillFraction = 0.25;
+// Fraction of the requests that may start a fill when a stale list is used again; it grows to 1 within
+// kFillRampTime seconds.
+constexpr double kResumedFillFraction = 0.1;
+constexpr Seconds kFillRampTime = 3.0;
 
 // Seconds before the node list is followed again after a failure.
 constexpr Seconds kListRetryDelay = 1.0;
@@ -769,7 +771,9 @@
   // Guards against a location's link that all directors fill at once, each within its own concurrency limits:
   // with each report of a full link, a smaller fraction of the requests may start a fill from outside the
   // location.
-  bool link_admits(const Request& request) { return request.admission_draw <= link_fraction; }
+  bool link_admits(const Request& request) {
+    return request.admission_draw <= std::min(link_fraction, resumed_fill_fraction());
+  }
   // Guards against overload of the origin, whether it answers slowly, rejects requests or is about to stop:
   // as fills fail there, a smaller fraction of the requests may make a parent fetch from it. The other
   // requests get only what the parents hold.
@@ -955,14 +959,12 @@
     if (stale)
       origin_budget.start(now, std::uniform_real_distribution<double>(0, 1)(random_engine));
     else
-      limit_fills_after_staleness();
+      list_usable_since = now;
   }
-  // Guards against fills by all directors at once: no copy was fetched while the list was stale, and purges
-  // that were missed make copies from before unusable. The fractions grow again with reports and answers.
-  void limit_fills_after_staleness() {
-    link_fraction = std::min(link_fraction, kResumedFillFraction);
-    origin_fraction = std::min(origin_fraction, kResumedFillFraction);
-    link_updated_at = origin_recovery_step_at = now;
+  // Guards against fills by all directors at once when a stale list is used again: no copy was fetched
+  // meanwhile, and purges that were missed may make copies from before unusable.
+  double resumed_fill_fraction() const {
+    return kResumedFillFraction + (1 - kResumedFillFraction) * (now - list_usable_since) / kFillRampTime;
   }
 
   void send_attempt(Request& request, const Route& route) {
@@ -1088,14 +1090,13 @@
     request.closed = true;
     actions.reject(request.id, may_send_retry_after ? retry_delay(request) : 0);
   }
-  // When the client should retry. While the list is stale: after that has ended, if that is known, as far as
-  // clients honour it. A repeat that must fit into the deduplication window is not postponed.
+  // While the list is stale clients are sent away for as long as they honour, spread evenly: a time that
+  // depended on the end of the outage would bring them back all at once. A repeat that must fit into the
+  // deduplication window is not postponed.
   Seconds retry_delay(const Request& request) {
     const double draw = std::uniform_real_distribution<double>(0.5, 1)(random_engine);
-    if (request.may_have_run || !list_staleness.is_stale(now)) return draw * max_retry_after;
-    const std::optional<Seconds> usable_at = list_staleness.next_change(now);
-    if (!usable_at) return draw * longest_honored_retry_after;
-    return std::min(longest_honored_retry_after, *usable_at - now + draw * max_retry_after);
+    const bool spread_out = !request.may_have_run && list_staleness.is_stale(now);
+    return draw * (spread_out ? longest_honored_retry_after : max_retry_after);
   }
 
   template <Route (State::*route)(const Request&)>
@@ -1453,6 +1454,7 @@
   bool link_is_reported = false;
   bool age_bound_logged = false;  // the log says that copies are bounded in age
   bool staleness_logged = false;  // the log says that the list is stale
+  Seconds list_usable_since = kDistantPast;
 
   // One entry per node, by the index of the node. Rates are in KB per second.
   std::unordered_map<std::string, int> node_index;
