While fills grow again after a stale list, the origin serves where Direct allows

Cause: for 3 s after a stale list only a growing fraction of the requests may start a fill. The others were looked up in a cache and then refused, although the origin had served them until a moment before.

Change: a request whose fill is postponed goes to the origin within the same even share (fill_is_postponed, origin_replaces_caches). Without Direct nothing changes.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -771,8 +771,17 @@
   // Guards against a location's link that all directors fill at once, each within its own concurrency limits:
   // with each report of a full link, a smaller fraction of the requests may start a fill from outside the
   // location.
-  bool link_admits(const Request& request) {
-    return request.admission_draw <= std::min(link_fraction, resumed_fill_fraction());
+  bool link_admits(const Request& request) { return request.admission_draw <= link_fraction; }
+  // Guards against fills by all directors at once when a stale list is used again: no copy was fetched
+  // meanwhile, and purges that were missed may make copies from before unusable. The fraction of the requests
+  // that may start a fill grows with time.
+  bool fill_is_postponed(const Request& request) const {
+    const double growth = (now - list_usable_since) / kFillRampTime;
+    return request.admission_draw > kResumedFillFraction + (1 - kResumedFillFraction) * growth;
+  }
+  // Whether the origin stands in for the caches, so that its load is that of all directors together.
+  bool origin_replaces_caches(const Request& request) const {
+    return list_staleness.is_stale(now) || fill_is_postponed(request);
   }
   // Guards against overload of the origin, whether it answers slowly, rejects requests or is about to stop:
   // as fills fail there, a smaller fraction of the requests may make a parent fetch from it. The other
@@ -840,7 +849,7 @@
 
   // All other fills, and retries after a sibling miss: the object's first kept parent by the hash.
   int choose_parent(const Request& request, int& trial_node) {
-    if (!is_write(request) && !link_admits(request)) return kNoNode;
+    if (!is_write(request) && (!link_admits(request) || fill_is_postponed(request))) return kNoNode;
     for (const int node : parents_for(request)) {
       if (!can_fill_from(request, node)) continue;
       if (!is_ejected(node) && passes_bands(node)) {
@@ -876,14 +885,14 @@
                ? node
                : kNoNode;
   }
-  // Guards against the sum of all directors at the origin while none of them may use a cache.
   bool has_origin_budget(const Request& request, int node) {
-    if (!list_staleness.is_stale(now)) return true;
+    if (!origin_replaces_caches(request)) return true;
     origin_budget.refill(now, kBudgetFraction * full_capacity(node) / directors_in_total, budget_span);
     return origin_budget.allows(charged_work(request, node));
   }
   Route origin_route(const Request& request) {
-    Route route = any_parent_eligible(request) ? Route() : choose_cache(request);
+    if (any_parent_eligible(request) || fill_is_postponed(request)) return {};
+    Route route = choose_cache(request);
     route.source = choose_origin(request);
     return route;
   }
@@ -907,9 +916,10 @@
     const Route route = choose_cache(request);
     return route && route.trial_node == kNoNode && !is_warming_up(route.node) ? route : Route();
   }
-  // Bypasses the caches where the settings allow it, and only when no cache is up and warm enough to be used.
+  // Bypasses the caches where the settings allow it, and only when no cache is up and warm enough to be used,
+  // or when the request may not start a fill yet.
   Route direct_route(const Request& request) {
-    if (!may_bypass_caches || choose_cache(request)) return {};
+    if (!may_bypass_caches || (choose_cache(request) && !fill_is_postponed(request))) return {};
     Route route;
     route.node = choose_parent(request, route.trial_node);
     if (route.node == kNoNode) route.node = choose_origin(request);
@@ -961,12 +971,6 @@
     else
       list_usable_since = now;
   }
-  // Guards against fills by all directors at once when a stale list is used again: no copy was fetched
-  // meanwhile, and purges that were missed may make copies from before unusable.
-  double resumed_fill_fraction() const {
-    return kResumedFillFraction + (1 - kResumedFillFraction) * (now - list_usable_since) / kFillRampTime;
-  }
-
   void send_attempt(Request& request, const Route& route) {
     Attempt new_attempt;
     new_attempt.node = route.node, new_attempt.source = route.source, new_attempt.sent_at = now,
@@ -1007,7 +1011,7 @@
     request.overdue = false;
     work_in_flight[route.node] += send_time(request);
     ++attempts_at[route.node], ++attempts_from[route.source];
-    if (is_origin(route.node) && list_staleness.is_stale(now))
+    if (is_origin(route.node) && origin_replaces_caches(request))
       origin_budget.charge(charged_work(request, route.node));
     actions.attempt(request.id, node_id[route.node], fill,
                     repeatable && !acts_when_late ? new_attempt.late_after : dedup_window);
--- a/tests/policy/list_staleness_test.cpp
+++ b/tests/policy/list_staleness_test.cpp
@@ -194,25 +194,44 @@
 }
 
 TEST_CASE("rule 3: after an outage caches serve again, and fills begin with a fraction of the requests") {
-  OutageFixture fixture("false");
-  fixture.run_until(fixture.lost_at + 8);
-  fixture.director->change_stream_followed(fixture.now, fixture.now);
-  fixture.list(ListCompleteness::kChanges, "c2", EndpointState::kDraining);
-  fixture.run_until(fixture.lost_at + 11.9);
-  CHECK(!fixture.uses_caches("settling", 1));
-  fixture.run_until(fixture.lost_at + 12.1);
-  CHECK(fixture.take_trace().find("log: change stream: node list in use again") != std::string::npos);
-  int filling = 0, attempted = 0;
-  for (int i = 0; i < 60; ++i) {
-    const std::string trace = fixture.trace_of("after-" + std::to_string(i), 1000 + i);
-    CHECK(trace.find("to c2") == std::string::npos);
-    attempted += trace.find("attempt to c") != std::string::npos;
-    filling += trace.find("fill from") != std::string::npos;
-    fixture.end_attempt("after-" + std::to_string(i), 0, Result::kCompleted, AnswerDetail::kHit, 0.001);
+  for (const bool direct : {false, true}) {
+    OutageFixture fixture(direct ? "true" : "false");
+    fixture.run_until(fixture.lost_at + 8);
+    fixture.director->change_stream_followed(fixture.now, fixture.now);
+    fixture.list(ListCompleteness::kChanges, "c2", EndpointState::kDraining);
+    fixture.run_until(fixture.lost_at + 11.9);
+    CHECK(!fixture.uses_caches("settling", 1));
+    if (direct) fixture.end_attempt("settling", 0, Result::kCompleted, AnswerDetail::kHit, 0);
+    fixture.run_until(fixture.lost_at + 12.1);
+    CHECK(fixture.take_trace().find("log: change stream: node list in use again") != std::string::npos);
+    // How many of 60 requests for new objects fill a cache, are only looked up there, or go to the origin.
+    int filling = 0, looked_up = 0, at_origin = 0, number = 0;
+    const auto request_new_objects = [&] {
+      filling = looked_up = at_origin = 0;
+      for (const int end = number + 60; number < end; ++number) {
+        const std::string id = "after-" + std::to_string(number);
+        const std::string trace = fixture.trace_of(id, 1000 + number);
+        CHECK(trace.find("to c2") == std::string::npos);
+        filling += trace.find("fill from") != std::string::npos;
+        looked_up +=
+            trace.find("attempt to c") != std::string::npos && trace.find("fill from") == std::string::npos;
+        fixture.end_attempt(id, 0, Result::kAbsent, AnswerDetail::kNone, 0.001);
+        at_origin += fixture.take_trace().find("attempt to O, no fill") != std::string::npos;
+        if (fixture.node_of[id].size() > 1)
+          fixture.end_attempt(id, 1, Result::kCompleted, AnswerDetail::kHit, 0.001);
+        fixture.director->client_disconnected(fixture.now, {id});
+      }
+    };
+    request_new_objects();
+    CHECK(filling > 0);
+    CHECK(filling < 15);
+    CHECK(looked_up == 60 - filling);
+    CHECK((at_origin > 0) == direct);
+    fixture.run_until(fixture.lost_at + 15.1);
+    request_new_objects();
+    CHECK(filling == 60);
+    CHECK(at_origin == 0);
   }
-  CHECK(attempted == 60);
-  CHECK(filling > 0);
-  CHECK(filling < 30);
 }
 
 TEST_CASE("the origin's budget: an even share, little of it saved up, and one attempt at a time at least") {
