No retry begins for a client whose close may wait behind what it sent

What clients saw: nothing, but work was done for them after they had gone.

Cause: the notice of a close (Socket::on_peer_closed) needs the end of the stream, and close_may_be_hidden was asked only when a new request is read.

Change: DirectorActor::attempt asks the client's connection before each retry (ResponseSink::may_have_disconnected). The retry ends as not sent, and the request gets its final answer as its class allows.

--- a/src/routing/client_connection.hpp
+++ b/src/routing/client_connection.hpp
@@ -30,6 +30,7 @@
 
   void completed(const RequestHandle& request, Content content) override;
   void rejected(const RequestHandle& request, Seconds retry_after) override;
+  bool may_have_disconnected() const override { return client_has_closed() || close_may_be_hidden(); }
   void failed(const RequestHandle& request) override;
 
   // Why the director closed a connection, for the log.
--- a/src/routing/director_actor.cpp
+++ b/src/routing/director_actor.cpp
@@ -433,10 +433,13 @@
   ++counters_.attempts;
   log_request_event("attempt_started", id, "", node.value);
   const auto upstream_node = upstream_nodes_.find(node);
+  const auto response_sink = request->response_sink.lock();
+  const bool is_retry = number.value > 0;
   // The deadline may have passed while the process was suspended, or the client may have disconnected: no
   // client waits for this answer any more.
   if (upstream_node == upstream_nodes_.end() || now >= request->deadline ||
-      request->forwarded_request->client_gone)
+      request->forwarded_request->client_gone ||
+      (is_retry && response_sink && response_sink->may_have_disconnected()))
     return attempt_ended(id, number, node, Result::kNotSent, AnswerDetail::kNone, 0, {}, {});
   const Seconds until = timeout > 0 ? std::min(now + timeout, request->deadline) : request->deadline;
   upstream_node->second->attempt(id, number, request->forwarded_request, fill, until);
--- a/src/routing/director_actor.hpp
+++ b/src/routing/director_actor.hpp
@@ -36,6 +36,9 @@
   virtual void completed(const RequestHandle& request, Content content) = 0;
   virtual void rejected(const RequestHandle& request, Seconds retry_after) = 0;
   virtual void failed(const RequestHandle& request) = 0;
+  // Whether the client may have disconnected unnoticed: so much that it sent is unread that its close could
+  // not be seen. Asked before each retry.
+  virtual bool may_have_disconnected() const { return false; }
 };
 
 // The names behind the indexes that the settings use for request classes, zones and kinds of nodes.
--- a/tests/routing/client_connection_test.cpp
+++ b/tests/routing/client_connection_test.cpp
@@ -333,6 +333,27 @@
   CHECK(client.received().find("503") != std::string::npos);
 }
 
+// Guards against a retry for a client whose close waits in its own kernel behind what it sent (issue 68).
+TEST_CASE("an open request behind which the client's close can't be seen is not retried") {
+  for (const bool closes : {true, false}) {
+    for (const std::string& node_answer : {kAbsent, std::string("AGAIN - 0\r\n")}) {
+      TestDirector director;
+      PlainClient client(director.listener->address());
+      client.send(get(kId1));
+      director.wait_for_attempts(kId1, 1);
+      client.send(pipelined(1 << 20));  // more than the kernel holds for the director
+      if (closes) client.finish();
+      director.nodes_answer(kId1, node_answer);
+      director.wait_until([&] {
+        return client.ended() || client.was_reset() || client.received().find("503") != std::string::npos ||
+               director.attempts_received() > 1;
+      });
+      CHECK(director.attempts_received() == 1);
+      CHECK(client.received().find("503") != std::string::npos);  // nothing of it has run
+    }
+  }
+}
+
 TEST_CASE("a new node at the address of one that is still listed: nothing more is sent to the old one") {
   TestDirector director;
   director.log.configure(LogFormat::kJson, LogLevel::kDebug);
