The fraction of requests that may reach the origin: a file of its own

Change: its constants, state and steps are policy/origin_admission (record_answer, record_failure, record_late, recover, admits). No decision changes.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -35,6 +35,7 @@
 #include "policy/cache_group.hpp"
 #include "policy/copy_age.hpp"
 #include "policy/list_staleness.hpp"
+#include "policy/origin_admission.hpp"
 #include "policy/origin_budget.hpp"
 #include "policy/part_usage.hpp"
 #include "policy/request_timers.hpp"
@@ -113,22 +114,6 @@
 constexpr Seconds kLookupRetryDelay = 0.15;
 // Lookups of a request: the remaining attempts have to suffice for a fill of its own.
 constexpr int kMaxLookups = 3;
-// Factor on the fraction after a failure at the origin.
-constexpr double kOriginFailureDecrease = 0.7;
-// The same for a late attempt: the request has already queued there for a while, unnoticed.
-constexpr double kOriginLateDecrease = 0.5;
-// Fraction of the requests added per second while answers of the origin arrive in good time.
-constexpr double kOriginIncreasePerSecond = 0.2;
-// Seconds without a failure at the origin, after each of which twice as many requests may reach it.
-constexpr Seconds kOriginRecoveryInterval = 2.0;
-// Multiple of the usual wait for the origin: a longer one shows a queue before the origin rejects requests.
-constexpr double kOriginSlowFactor = 5.0;
-// Smallest factor that one slow answer applies to the fraction.
-constexpr double kMaxOriginSlowDecrease = 0.3;
-// Seconds: shorter waits are due to the network path, not to a queue at the origin.
-constexpr Seconds kMinOriginWait = 0.02;
-// Smallest fraction: fewer requests would not show when the origin has recovered.
-constexpr double kMinOriginFraction = 0.05;
 // Repeated fills earned by each fill in good time: the most that retries add to the load.
 constexpr double kRetryBudgetPerFill = 0.2;
 // Repeated fills that can be saved up: enough for the first moments of a failure.
@@ -212,7 +197,7 @@
   std::uint64_t object = 0, part_key = 0;
   std::int64_t group = 0;
   Seconds arrived_at = 0, deadline = 0, resume_at = kDistantPast, first_sent_at = 0;
-  double size_kb = 0, admission_draw = 0;  // compared with link_fraction and origin_fraction
+  double size_kb = 0, admission_draw = 0;  // compared with the fractions of requests that are admitted
   bool write = false, hot = false, requested_before = false, origin_excluded = false, fill_failed = false,
        fill_in_progress = false;
   // closed: the final answer was given, or the client has disconnected. bound_to_attempt: an attempt was
@@ -783,40 +768,8 @@
   bool origin_replaces_caches(const Request& request) const {
     return list_staleness.is_stale(now) || fill_is_postponed(request);
   }
-  // Guards against overload of the origin, whether it answers slowly, rejects requests or is about to stop:
-  // as fills fail there, a smaller fraction of the requests may make a parent fetch from it. The other
-  // requests get only what the parents hold.
   bool origin_admits(const Request& request) {
-    return is_write(request) || request.admission_draw <= origin_fraction;
-  }
-  // The fraction grows with time, not with the number of answers: otherwise a director that rarely gets an
-  // answer from the origin would keep a decrease for many seconds after its cause has gone.
-  void adjust_origin_fraction(double factor, Seconds sent_at) {
-    if (factor >= 1) {
-      ++origin_good_answers;
-      const Seconds since = std::min(1.0, now - std::max(origin_answered_at, origin_decreased_at));
-      origin_fraction = std::min(1.0, origin_fraction + kOriginIncreasePerSecond * since),
-      origin_answered_at = now;
-    }
-    if (factor >= 1 || sent_at <= origin_decreased_at) return;
-    origin_fraction = std::max(kMinOriginFraction, factor * origin_fraction),
-    origin_decreased_at = origin_recovery_step_at = now;
-  }
-  // Guards against a queue at the origin that grows for seconds before the first rejection, while every late
-  // fill is repeated through another parent too. It also reacts to an origin that is merely slow. The cost:
-  // fewer fills where the waits vary by nature.
-  double origin_wait_factor(Seconds source_wait) {
-    const double longest_usual = kOriginSlowFactor * std::max(usual_origin_wait.mean(), kMinOriginWait);
-    if (source_wait > 0 && usual_origin_wait.weight >= 2 && source_wait > longest_usual)
-      return std::max(kMaxOriginSlowDecrease, longest_usual / source_wait);
-    if (source_wait > 0) usual_origin_wait.add(now, source_wait, 1);
-    return 1;
-  }
-  // The objects that are let through are soon held in caches; only further objects can show that the origin
-  // has recovered.
-  void recover_origin_fraction() {
-    if (now - origin_recovery_step_at < kOriginRecoveryInterval) return;
-    origin_fraction = std::min(1.0, 2 * origin_fraction), origin_recovery_step_at = now;
+    return is_write(request) || origin_admission.admits(request.admission_draw);
   }
   // Most requests that name a fill source never need it: of those in flight, the usual fraction counts.
   double source_load(int node) {
@@ -991,8 +944,8 @@
                                  ? kLateFactor * expected_time
                                  : std::max(kLateFactor * expected_time, slack);
     // At the origin itself the usual wait is added; a longer one shows a queue.
-    if (is_origin(route.node) && usual_origin_wait.has_data())
-      new_attempt.late_after = expected_time + std::max(usual_origin_wait.mean(), kMinOriginWait);
+    if (const auto usual_wait = origin_admission.usual_wait(); usual_wait && is_origin(route.node))
+      new_attempt.late_after = expected_time + std::max(*usual_wait, policy::kMinOriginWait);
     const int rank = is_write(request) ? 0 : request.hot ? 3 : request.requested_before ? 2 : 1;
     const FillOptions fill = {.source = node_id[route.source],
                               .rank = rank,
@@ -1194,7 +1147,7 @@
                     (node_hit_slowdown[cache].has_data() ? node_hit_slowdown[cache] : hit_slowdown).mean());
           if (by_origin) origin_rate.add(now, request.size_kb, elapsed);
         }
-        if (by_origin) adjust_origin_fraction(origin_wait_factor(source_wait), attempt.sent_at);
+        if (by_origin) origin_admission.record_answer(now, attempt.sent_at, source_wait);
         // Only complete answer details show whether a parent held the object; a sibling serves nothing but
         // what it holds.
         if (is_cache_kind(source_node) || reports_answer_details)
@@ -1220,14 +1173,14 @@
           // to its load.
           if (detail == AnswerDetail::kOriginFailed) request.origin_excluded = true;
           if (!is_cache_kind(source_node) && !source_lost)
-            adjust_origin_fraction(kOriginFailureDecrease, attempt.sent_at);
+            origin_admission.record_failure(now, attempt.sent_at);
           adjust_concurrency_limit(source_node, 0, true, attempt.sent_at);
           if (source_lost)
             record_failure(source_node, 1),
                 fill_rate[source_node].add(now, 0, std::max(source_wait, kMinMeasurableTransfer));
         } else if (result == Result::kRejected && is_origin(cache)) {
           // A single failure may be due to the connection; the next attempt uses another one.
-          if (request.attempts.size() > 1) adjust_origin_fraction(kOriginFailureDecrease, attempt.sent_at);
+          if (request.attempts.size() > 1) origin_admission.record_failure(now, attempt.sent_at);
           if (request.deadline - now > 2 * kWriteRetryDelay)
             resume_after(request,
                          kWriteRetryDelay * std::uniform_real_distribution<double>(0.5, 1.5)(random_engine));
@@ -1329,13 +1282,13 @@
   bool is_late_at_origin(const Request& request, const Attempt& attempt) {
     if (is_origin(attempt.node)) return true;
     if (send_time(request) >= kMinMeasurableTransfer) return false;
-    if (now - attempt.sent_at <
-        expected_duration(request) + (usual_origin_wait.has_data() ? usual_origin_wait.mean() : 0))
+    if (now - attempt.sent_at < expected_duration(request) + origin_admission.usual_wait().value_or(0))
       return false;
     // Silence points to a node only where an answer would have been due by now. A director with few requests
     // gets no answer from any node in that time: past the latency target, a known problem of the origin is
     // then the more likely cause.
-    const bool past_target = origin_fraction < 1 && now - request.arrived_at > latency_target(request);
+    const bool past_target =
+        origin_admission.is_reduced() && now - request.arrived_at > latency_target(request);
     const auto answered_since = [&](const std::vector<Seconds>& times,
                                     const std::vector<Average>& answer_rates, int node) {
       const bool answer_is_due = answer_rates[node].weight_per_second(now) * (now - attempt.sent_at) >= 1;
@@ -1359,12 +1312,7 @@
     Attempt& attempt = request.attempts[attempt_index];
     if (!attempt.in_flight || attempt.cancelled || !is_unanswered(request)) return;
     const bool first = !std::exchange(attempt.marked_late, true);
-    if (is_late_at_origin(request, attempt) && attempt.sent_at > origin_decreased_at) {
-      // One late attempt among many in good time is chance: good answers since the last late one soften the
-      // decrease.
-      adjust_origin_fraction(1 - (1 - kOriginLateDecrease) / (1 + origin_good_answers), attempt.sent_at);
-      origin_good_answers = 0;
-    }
+    if (is_late_at_origin(request, attempt)) origin_admission.record_late(now, attempt.sent_at);
     if (request_class_of(request).effect != Effect::kRetryable) return;
     // Guards against waits for a slow source that block hits: a late fill no longer counts towards its
     // cache's concurrency limit.
@@ -1377,7 +1325,8 @@
       // Guards against one late fill through each parent while the origin behind all of them is slow. The
       // cost, where a parent disappears at that moment: its fills wait until their deadline unless failures
       // eject it before.
-      if (is_parent(attempt.source) && origin_fraction < 1 && answered_at[attempt.node] >= attempt.sent_at)
+      if (is_parent(attempt.source) && origin_admission.is_reduced() &&
+          answered_at[attempt.node] >= attempt.sent_at)
         return;
       request.overdue = node_at_fault;
     } else {
@@ -1441,17 +1390,14 @@
   std::uint64_t list_version = 1;
   mutable SortedNodes sorted;
   mutable bool nodes_are_sorted = false;
-  // link_fraction, origin_fraction: of the requests, those that may start a fill or reach the origin.
-  double transfer_kb_per_s = 0, link_fraction = 1, origin_fraction = 1, retry_budget = kMaxRetryBudget,
-         origin_good_answers = 0;
-  Seconds link_updated_at = kDistantPast, origin_decreased_at = kDistantPast,
-          origin_recovery_step_at = kDistantPast, origin_answered_at = kDistantPast;
+  // link_fraction: of the requests, those that may start a fill.
+  double transfer_kb_per_s = 0, link_fraction = 1, retry_budget = kMaxRetryBudget;
+  Seconds link_updated_at = kDistantPast;
   ListCompleteness completeness = ListCompleteness::kCached;
   // duration_factor: durations relative to send_time + kAttemptOverhead. fill_ratio: of the completed
   // attempts that named a source, those that were filled. hit_slowdown: durations of hits relative to
   // send_time.
-  Average duration_factor, origin_rate, usual_origin_wait, fill_ratio, false_cache_failures,
-      false_parent_failures;
+  Average duration_factor, origin_rate, fill_ratio, false_cache_failures, false_parent_failures;
   Average hit_slowdown;
   std::pair<Seconds, double> fill_slowdown;
   int fills_measured = 0;
@@ -1478,6 +1424,7 @@
   policy::RunHistory run_history;
   policy::CopyAge copy_age{0, 0};  // replaced when the settings are read
   policy::ListStaleness list_staleness;
+  policy::OriginAdmission origin_admission;
   policy::OriginBudget origin_budget;  // used while the list is stale
 };
 
@@ -1571,7 +1518,7 @@
                                double size_kb, bool, bool is_write) {
   State& state = state_->advance_to(now);
   if (state.run_history.may_have_run(id)) return state.actions.fail(id);
-  state.recover_origin_fraction();
+  state.origin_admission.recover(now);
   Request request;
   request.serial = ++state.last_serial;
   request.id = id, request.request_class =
