--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -924,6 +924,7 @@
     else
       list_usable_since = now;
   }
+
   void send_attempt(Request& request, const Route& route) {
     Attempt new_attempt;
     new_attempt.node = route.node, new_attempt.source = route.source, new_attempt.sent_at = now,
